--- a/src/adapter.cpp
+++ b/src/adapter.cpp
@@ -16,8 +16,8 @@
 
 using orchiddrum::Action;
 using orchiddrum::Balancer;
+using orchiddrum::Line;
 using orchiddrum::Micros;
-using orchiddrum::wire::Line;
 using orchiddrum::wire::SheetEntry;
 using orchiddrum::wire::Wire;
 using orchiddrum::wire::WireError;
@@ -35,7 +35,7 @@
   bool take(const std::string& text) {
     const Line line(text);
     if (entriesLeft_ > 0) {
-      sheets_[openSheet_]->push_back(parseSheetEntry(line));
+      sheets_[openSheet_]->push_back(orchiddrum::wire::parseSheetEntry(line));
       --entriesLeft_;
       return false;
     }
--- /dev/null
+++ b/src/sidecar/config.cpp
@@ -0,0 +1,164 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+#include "config.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <cmath>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+namespace ivypost {
+namespace {
+
+using nlohmann::json;
+using orchiddrum::bad;
+using orchiddrum::FormatError;
+
+constexpr double kMaxWeight = 1e6;
+
+// Values stand in a line of name=value pairs, where a space would end them and a comma part them.
+std::string word(std::string text) {
+  std::replace_if(
+      text.begin(), text.end(), [](char c) { return c == ' ' || c == ',' || c == '\n'; }, '_');
+  return text;
+}
+
+std::string scalar(const json& value) {
+  return value.is_string() ? word(value.get<std::string>()) : value.dump();
+}
+
+// The form of the simulator's first message: nested names joined by dots, a list of plain values by commas, a
+// list of objects by its count and the number of each.
+void flatten(const json& value, const std::string& path, std::string& line) {
+  const std::string below = path.empty() ? path : path + ".";
+  if (value.is_object()) {
+    for (const auto& [key, item] : value.items()) flatten(item, below + word(key), line);
+  } else if (value.is_array() && !value.empty() && value.front().is_structured()) {
+    line += " " + below + "count=" + std::to_string(value.size());
+    for (std::size_t n = 0; n < value.size(); ++n) flatten(value[n], below + std::to_string(n), line);
+  } else if (value.is_array()) {
+    std::string joined;
+    for (const json& item : value) joined += (joined.empty() ? "" : ",") + scalar(item);
+    line += " " + path + "=" + joined;
+  } else if (!value.is_null()) {
+    line += " " + path + "=" + scalar(value);
+  }
+}
+
+json parseJson(const std::string& text) {
+  try {
+    return json::parse(text);
+  } catch (const json::exception& error) {
+    bad("not JSON:", error.what());
+  }
+}
+
+Instance toInstance(const json& item) {
+  Instance instance;
+  instance.id = item.at("instanceId").get<std::string>();
+  if (instance.id.empty()) bad("an instance without", "instanceId");
+  instance.zone = word(item.value("zone", ""));
+  instance.kind = word(item.value("machineType", ""));
+  if (item.contains("cell") && !item["cell"].is_null()) instance.cell = item["cell"].get<std::uint32_t>();
+  const auto state = item.at("lifecycle").get<std::string>();
+  if (state == "up") {
+    instance.state = orchiddrum::UpstreamState::Serving;
+  } else if (state == "draining") {
+    instance.state = orchiddrum::UpstreamState::Draining;
+  } else if (state == "removed") {
+    instance.state = orchiddrum::UpstreamState::Gone;
+  } else {
+    bad("unknown lifecycle", state);
+  }
+  // One that is removed has no use for an address.
+  if (instance.state != orchiddrum::UpstreamState::Gone || item.contains("hostPort"))
+    instance.address = parseEndpoint(item.at("hostPort").get<std::string>());
+  instance.weight = item.value("weight", 1.0);
+  if (!std::isfinite(instance.weight) || instance.weight < 0 || instance.weight > kMaxWeight)
+    bad("weight is out of range:", item["weight"].dump());
+  instance.startedAtMs = item.value("startedAtMs", std::int64_t{0});
+  if (instance.startedAtMs < 0 || instance.startedAtMs > orchiddrum::kMaxTime / 1000)
+    bad("startedAtMs is out of range:", item["startedAtMs"].dump());
+  return instance;
+}
+
+InstanceList toInstances(const json& object) {
+  InstanceList list;
+  list.generation = object.at("generation").get<std::int64_t>();
+  list.whole = object.at("reset").get<bool>();
+  for (const json& item : object.at("instances")) list.instances.push_back(toInstance(item));
+  return list;
+}
+
+std::uint64_t toSeed(const std::string& text) {
+  std::uint64_t seed = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+  if (error != std::errc() || end != text.data() + text.size()) bad("seed is no hexadecimal number:", text);
+  return seed;
+}
+
+// What stands in the environment goes before the file.
+std::string told(const json& file, const char* key, const char* variable) {
+  if (const char* value = std::getenv(variable); value != nullptr && *value != '\0') return value;
+  return file.at(key).get<std::string>();
+}
+
+}  // namespace
+
+Endpoint parseEndpoint(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos || colon == 0) bad("not an address and port:", text);
+  std::string host = text.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
+  boost::system::error_code error;
+  const auto address = boost::asio::ip::make_address(host, error);
+  std::uint16_t port = 0;
+  const char* const last = text.data() + text.size();
+  const auto [end, failure] = std::from_chars(text.data() + colon + 1, last, port);
+  if (error || failure != std::errc() || end != last) bad("not an address and port:", text);
+  return {address, port};
+}
+
+InstanceList parseInstances(const std::string& text) {
+  try {
+    return toInstances(parseJson(text));
+  } catch (const json::exception& error) {
+    bad("not a list of instances:", error.what());
+  }
+}
+
+Config parseConfig(const std::string& text) {
+  const json file = parseJson(text);
+  Config config;
+  try {
+    config.name = told(file, "name", "GW_NAME");
+    config.listen = parseEndpoint(told(file, "listen", "GW_LISTEN"));
+    config.discovery = parseEndpoint(told(file, "discovery", "GW_DISCOVERY"));
+    config.seed = toSeed(file.at("seed").get<std::string>());
+    if (file.contains("limits")) config.sockets = file["limits"].value("sockets", config.sockets);
+    if (file.contains("known")) config.known = toInstances(file["known"]);
+    std::string line = "settings";
+    const json& settings = file.at("settings");
+    flatten(settings, "", line);
+    config.site = orchiddrum::readSite(orchiddrum::Line(line));
+  } catch (const json::exception& error) {
+    throw FormatError(error.what());
+  }
+  config.classNames.resize(config.site.classes.size());
+  for (const auto& [name, number] : config.site.classes) config.classNames.at(number) = name;
+  return config;
+}
+
+Config readConfig() {
+  const char* const path = std::getenv("GW_CONFIG");
+  if (path == nullptr || *path == '\0') throw FormatError("GW_CONFIG is not set");
+  std::ifstream file(path, std::ios::binary);
+  const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+  if (!file) throw FormatError("cannot read the file that GW_CONFIG names");
+  return parseConfig(text);
+}
+
+}  // namespace ivypost
--- /dev/null
+++ b/src/sidecar/discovery.cpp
@@ -0,0 +1,175 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+#include "discovery.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <cstdio>
+#include <optional>
+#include <utility>
+
+namespace ivypost {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using beast::error_code;
+using std::chrono::milliseconds;
+
+// How long a watch may wait for news. An agent on this machine answers at no cost, so it is asked often and a
+// silent one is soon noticed; discovery itself is spared.
+constexpr milliseconds kPushedWait{1000};
+constexpr milliseconds kAskedWait{20000};
+// A call is given up when its answer is this much late.
+constexpr milliseconds kPatience{1000};
+constexpr milliseconds kAskedPatience{5000};
+// A watch goes on if the next call comes within 200 ms of the last answer; so does one after a failure.
+constexpr milliseconds kAgain{100};
+constexpr std::size_t kMaxAnswer = 16UL * 1024 * 1024;
+
+}  // namespace
+
+// One connection to discovery. It carries call after call until one of them fails.
+class Discovery::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  explicit Connection(Discovery& owner) : owner_(&owner), socket_(owner.io_), timer_(owner.io_) {}
+
+  void call(const std::string& target, milliseconds patience) {
+    request_ = http::request<http::empty_body>(http::verb::get, target, 11);
+    request_.set(http::field::host, "discovery");
+    timer_.expires_after(patience);
+    timer_.async_wait([self = shared_from_this()](error_code cancelled) {
+      if (!cancelled && self->timer_.expiry() <= std::chrono::steady_clock::now())
+        self->fail("no answer in time");
+    });
+    if (socket_.is_open()) return write();
+    socket_.async_connect(owner_->config_.discovery, [self = shared_from_this()](error_code error) {
+      if (self->owner_ == nullptr) return;
+      if (error) return self->fail(error.message());
+      error_code ignored;
+      self->socket_.set_option(tcp::no_delay(true), ignored);
+      self->write();
+    });
+  }
+
+  void close() {
+    owner_ = nullptr;
+    timer_.cancel();
+    error_code ignored;
+    socket_.close(ignored);
+  }
+
+ private:
+  void write() {
+    http::async_write(socket_, request_, [self = shared_from_this()](error_code error, std::size_t) {
+      if (self->owner_ == nullptr) return;
+      if (error) return self->fail(error.message());
+      self->read();
+    });
+  }
+
+  void read() {
+    parser_.emplace();
+    parser_->body_limit(kMaxAnswer);
+    http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code error, std::size_t) {
+      if (self->owner_ == nullptr) return;
+      if (error) return self->fail(error.message());
+      self->timer_.cancel();
+      const auto& answer = self->parser_->get();
+      if (answer.result() != http::status::ok)
+        return self->fail("status " + std::to_string(answer.result_int()));
+      Discovery& owner = *self->owner_;
+      if (!self->parser_->keep_alive()) {
+        self->close();
+        owner.connection_ = nullptr;
+      }
+      owner.answered(answer.body());
+    });
+  }
+
+  void fail(const std::string& trouble) {
+    if (owner_ == nullptr) return;
+    Discovery& owner = *owner_;
+    close();
+    owner.connection_ = nullptr;
+    owner.failed(trouble);
+  }
+
+  Discovery* owner_;  // none once it is closed
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  beast::flat_buffer buffer_;
+  http::request<http::empty_body> request_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+};
+
+Discovery::Discovery(asio::io_context& io, const Config& config, Callbacks callbacks)
+    : io_(io),
+      config_(config),
+      callbacks_(std::move(callbacks)),
+      pause_(io),
+      generation_(config.known.generation),
+      pushed_(!config.site.settings.mustSubscribe) {}
+
+Discovery::~Discovery() {
+  if (connection_) connection_->close();
+}
+
+void Discovery::watch() {
+  if (std::exchange(watching_, true)) return;
+  callAfter(milliseconds(0));
+}
+
+void Discovery::fetch() {
+  fetching_ = true;
+  // A watch that waits would hold the call up.
+  if (connection_) std::exchange(connection_, nullptr)->close();
+  callAfter(milliseconds(0));
+}
+
+void Discovery::callAfter(milliseconds pause) {
+  pause_.expires_after(pause);
+  pause_.async_wait([this](error_code cancelled) {
+    if (!cancelled) call();
+  });
+}
+
+void Discovery::call() {
+  if (!watching_ && !fetching_) return;
+  std::string target = "/v1/endpoints";
+  const milliseconds wait = fetching_ ? milliseconds(0) : pushed_ ? kPushedWait : kAskedWait;
+  if (!fetching_) target += "?index=" + std::to_string(generation_) + "&wait=" + std::to_string(wait.count());
+  if (!connection_) connection_ = std::make_shared<Connection>(*this);
+  connection_->call(target, wait + (pushed_ ? kPatience : kAskedPatience));
+}
+
+void Discovery::answered(const std::string& text) {
+  InstanceList list;
+  try {
+    list = parseInstances(text);
+    if (fetching_ && !list.whole) throw orchiddrum::FormatError("the whole list was asked for, and not sent");
+  } catch (const orchiddrum::FormatError& error) {
+    return failed(error.what());
+  }
+  if (std::exchange(lost_, false)) std::fprintf(stderr, "discovery is back\n");
+  const bool news = fetching_ || list.whole || !list.instances.empty();
+  fetching_ = false;
+  generation_ = list.generation;
+  callAfter(milliseconds(0));
+  if (news) callbacks_.told(std::move(list));
+}
+
+void Discovery::failed(const std::string& trouble) {
+  if (!std::exchange(lost_, true))
+    std::fprintf(stderr, "discovery: %s; the last list stays\n", trouble.c_str());
+  // What was asked for is answered by its failure, and asked for anew by whoever wants it; a pushed list
+  // comes by itself.
+  const bool asked = std::exchange(fetching_, false) || !pushed_;
+  if (!pushed_) watching_ = false;
+  if (watching_) callAfter(kAgain);
+  if (asked) callbacks_.failed();
+}
+
+}  // namespace ivypost
--- /dev/null
+++ b/src/sidecar/server.h
@@ -0,0 +1,97 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// The client side: takes requests from the application, checks them, and gives each exactly one answer.
+#ifndef IVYPOST_SERVER_H_
+#define IVYPOST_SERVER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <variant>
+
+#include "config.h"
+
+namespace ivypost {
+
+using Clock = std::chrono::steady_clock;
+using Message = boost::beast::http::request<boost::beast::http::string_body>;
+
+// A request that passed all checks.
+struct ClientRequest {
+  orchiddrum::RequestId id = 0;
+  std::uint32_t requestClass = 0;
+  std::optional<std::uint32_t> tenant;
+  std::optional<std::uint64_t> key;
+  std::optional<Micros> work;
+  bool resent = false;
+  Micros expiresIn = 0;
+  Clock::time_point deadline;
+  std::shared_ptr<const Message> message;
+};
+
+struct Answer {
+  unsigned status = 502;
+  std::string body;
+  std::string contentType = "text/plain";
+  Micros retryAfter = 0;  // 0: no advice
+};
+
+class Server {
+ public:
+  struct Callbacks {
+    std::function<void(ClientRequest)> taken;
+    // The client has left, or the deadline passed with no answer and the server gave one itself.
+    std::function<void(orchiddrum::RequestId)> over;
+  };
+
+  // Throws boost::system::system_error when it cannot listen.
+  Server(boost::asio::io_context& io, const Config& config, Callbacks callbacks);
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+  ~Server();
+
+  // Gives the request its final answer. Ignored when the request is over.
+  void answer(orchiddrum::RequestId id, Answer answer);
+
+  // Takes what still comes for a while, answers all that was taken, then calls back once.
+  void stop(std::function<void()> stopped);
+
+  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
+ private:
+  class Session;
+
+  void accept();
+  void admit(boost::asio::ip::tcp::socket socket);
+  void closeIdle(std::size_t atMost);
+  void closeAcceptor();
+  void finish(Clock::time_point lingerUntil, Clock::time_point stopBy);
+
+  // What the request reads as, or the answer it gets at once.
+  std::variant<ClientRequest, Answer> check(Message message) const;
+  Answer plain(unsigned status, std::string text) const;
+  bool full() const;
+
+  boost::asio::io_context& io_;
+  const Config& config_;
+  Callbacks callbacks_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer timer_;
+  std::size_t maxSessions_;
+  bool stopping_ = false;
+  std::function<void()> stopped_;
+  std::unordered_set<std::shared_ptr<Session>> sessions_;
+  std::unordered_map<orchiddrum::RequestId, std::shared_ptr<Session>> open_;
+};
+
+}  // namespace ivypost
+
+#endif  // IVYPOST_SERVER_H_
--- /dev/null
+++ b/src/sidecar/sidecar.cpp
@@ -0,0 +1,263 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+#include "sidecar.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <utility>
+#include <variant>
+
+namespace ivypost {
+namespace {
+
+namespace asio = boost::asio;
+using orchiddrum::MembershipUpdate;
+using orchiddrum::Outcome;
+using orchiddrum::RequestId;
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+
+// A repeat is written this long before its window ends at the latest: it has to arrive within it.
+constexpr microseconds kWindowMargin{10'000};
+
+// The module's clock: monotonic microseconds.
+Micros now() {
+  return duration_cast<microseconds>(Clock::now().time_since_epoch()).count();
+}
+
+Micros unixNow() {
+  return duration_cast<microseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+bool provesNeverRan(Outcome outcome) {
+  return outcome == Outcome::Full || outcome == Outcome::ConnectFailed || outcome == Outcome::Moot;
+}
+
+}  // namespace
+
+Sidecar::Sidecar(asio::io_context& io, Config config)
+    : io_(io),
+      config_(std::move(config)),
+      unixToSteady_(now() - unixNow()),
+      balancer_(config_.site.settings, config_.seed, now()),
+      timer_(io),
+      upstreams_(
+          io, config_,
+          {[this](AttemptId id) { onWritten(id); }, [this](AttemptEnd end) { onEnded(std::move(end)); },
+           [this](const ProbeEnd& end) { onProbed(end); }}),
+      discovery_(io, config_,
+                 {[this](const InstanceList& list) {
+                    onList(list, list.whole ? MembershipUpdate::Kind::Full : MembershipUpdate::Kind::Changes);
+                  },
+                  [this] {
+                    handle(MembershipUpdate{MembershipUpdate::Kind::Failed, {}});
+                  }}),
+      server_(io, config_,
+              {[this](ClientRequest client) { onTaken(std::move(client)); },
+               [this](RequestId id) { onOver(id); }}) {
+  onList(config_.known, MembershipUpdate::Kind::Saved);
+  if (!config_.site.settings.mustSubscribe) discovery_.watch();
+}
+
+// ---- Events -----------------------------------------------------------------------------------------------
+
+void Sidecar::handle(const orchiddrum::Event& event) {
+  std::vector<orchiddrum::Action> actions;
+  balancer_.handle(event, now(), actions);
+  for (const auto& action : actions) {
+    std::visit([this](const auto& one) { carryOut(one); }, action);
+  }
+}
+
+void Sidecar::onTaken(ClientRequest client) {
+  orchiddrum::NewRequest event;
+  event.request = client.id;
+  event.requestClass = client.requestClass;
+  event.tenant = client.tenant;
+  event.key = client.key;
+  event.expiresIn = client.expiresIn;
+  event.work = client.work;
+  event.resent = client.resent;
+  Request request;
+  request.client = std::move(client);
+  requests_.emplace(event.request, std::move(request));
+  handle(event);
+}
+
+void Sidecar::onOver(RequestId id) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) return;
+  found->second.over = true;
+  handle(orchiddrum::Withdrawn{id});
+  forget(id);
+}
+
+void Sidecar::onWritten(AttemptId id) {
+  const auto found = requests_.find(id.request);
+  if (found != requests_.end()) found->second.attempts.at(id.number).writtenAt = Clock::now();
+}
+
+void Sidecar::onEnded(AttemptEnd end) {
+  const auto found = requests_.find(end.id.request);
+  if (found == requests_.end()) return;
+  Request& request = found->second;
+  Attempt& attempt = request.attempts.at(end.id.number);
+  attempt.mayHaveRun = !provesNeverRan(end.outcome);
+  --request.out;
+  orchiddrum::AttemptOutcome event;
+  event.request = end.id.request;
+  event.attempt = end.id.number;
+  event.upstream = attempt.upstream;
+  event.outcome = end.outcome;
+  event.lag = duration_cast<microseconds>(end.lag).count();
+  event.report = end.report;
+  if (end.outcome == Outcome::Ok && !request.over) {
+    Answer answer;
+    answer.status = 200;
+    answer.body = std::move(end.body);
+    if (!end.contentType.empty()) answer.contentType = std::move(end.contentType);
+    finish(end.id.request, std::move(answer));
+  }
+  event.last = request.over;
+  handle(event);
+  forget(end.id.request);
+}
+
+void Sidecar::onProbed(const ProbeEnd& end) {
+  orchiddrum::ProbeResult event;
+  event.upstream = end.upstream;
+  event.ok = end.ok;
+  event.lag = duration_cast<microseconds>(end.lag).count();
+  event.report = end.report;
+  handle(event);
+}
+
+void Sidecar::onList(const InstanceList& list, MembershipUpdate::Kind kind) {
+  MembershipUpdate update;
+  update.kind = kind;
+  const auto& site = config_.site;
+  for (const Instance& instance : list.instances) {
+    orchiddrum::UpstreamEntry entry;
+    entry.upstream = intern(instance.id);
+    // A zone or a kind that the settings don't name tells nothing, but the upstream can serve.
+    if (const auto zone = site.zones.find(instance.zone); zone != site.zones.end()) entry.zone = zone->second;
+    if (const auto sort = site.kinds.find(instance.kind); sort != site.kinds.end()) entry.kind = sort->second;
+    entry.cell = instance.cell;
+    entry.state = instance.state;
+    entry.size = instance.weight;
+    entry.launchedAt = launchedAt(instance.startedAtMs);
+    entry.identity = orchiddrum::identity(instance.id);
+    if (instance.state != orchiddrum::UpstreamState::Gone)
+      upstreams_.setAddress(entry.upstream, instance.address);
+    update.entries.push_back(entry);
+  }
+  handle(update);
+}
+
+void Sidecar::onTimer() {
+  armedFor_ = Clock::time_point::max();
+  handle(orchiddrum::TimerDue{});
+}
+
+// ---- Actions ----------------------------------------------------------------------------------------------
+
+void Sidecar::carryOut(const orchiddrum::Send& send) {
+  Request& request = requests_.at(send.request);
+  AttemptOrder order;
+  order.id = {send.request, static_cast<std::uint32_t>(request.attempts.size())};
+  order.upstream = send.upstream;
+  order.message = request.client.message;
+  order.deadline = request.client.deadline;
+  if (send.timeout > 0) order.deadline = std::min(order.deadline, Clock::now() + microseconds(send.timeout));
+  order.writeBy = order.deadline;
+  // Guards against a connection that comes up slowly and carries a repeat past its window. The window opens
+  // with the first attempt that may have run, which has been written if so.
+  const auto& cls = config_.site.settings.classes.at(request.client.requestClass);
+  if (cls.semantics == orchiddrum::Semantics::Keyed) {
+    for (const Attempt& earlier : request.attempts) {
+      if (!earlier.mayHaveRun || earlier.writtenAt == Clock::time_point{}) continue;
+      order.writeBy =
+          std::min(order.writeBy, earlier.writtenAt + microseconds(cls.repeatWindow) - kWindowMargin);
+    }
+  }
+  Attempt attempt;
+  attempt.upstream = send.upstream;
+  request.attempts.push_back(attempt);
+  ++request.out;
+  upstreams_.send(std::move(order));
+}
+
+void Sidecar::carryOut(const orchiddrum::Cancel& cancel) {
+  upstreams_.cancel({cancel.request, cancel.attempt});
+}
+
+void Sidecar::carryOut(const orchiddrum::Refuse& refuse) {
+  Answer answer;
+  answer.status = 503;
+  answer.body = "refused\n";
+  answer.retryAfter = refuse.retryAfter;
+  finish(refuse.request, std::move(answer));
+  forget(refuse.request);
+}
+
+void Sidecar::carryOut(const orchiddrum::Fail& fail) {
+  Answer answer;
+  answer.status = 502;
+  answer.body = "failed\n";
+  finish(fail.request, std::move(answer));
+  forget(fail.request);
+}
+
+void Sidecar::carryOut(const orchiddrum::SetTimer& timer) {
+  const auto at = Clock::now() + microseconds(timer.delay);
+  if (at >= armedFor_) return;  // the module asks again whenever it is woken
+  armedFor_ = at;
+  timer_.expires_at(at);
+  timer_.async_wait([this](const boost::system::error_code& cancelled) {
+    if (!cancelled) onTimer();
+  });
+}
+
+void Sidecar::carryOut(const orchiddrum::Probe& probe) {
+  upstreams_.probe(probe.upstream);
+}
+
+void Sidecar::carryOut(const orchiddrum::CloseIdle& close) {
+  upstreams_.closeIdle(close.upstream);
+}
+
+void Sidecar::carryOut(const orchiddrum::Subscribe& /*subscribe*/) {
+  discovery_.watch();
+}
+
+void Sidecar::carryOut(const orchiddrum::Fetch& /*fetch*/) {
+  discovery_.fetch();
+}
+
+void Sidecar::carryOut(const orchiddrum::Log& log) {
+  std::fprintf(stderr, "%s\n", log.text.c_str());
+}
+
+// ---- Requests and upstreams
+// ---------------------------------------------------------------------------------
+
+void Sidecar::finish(RequestId id, Answer answer) {
+  requests_.at(id).over = true;
+  server_.answer(id, std::move(answer));
+}
+
+// Guards against forgetting a request whose attempts still report their end.
+void Sidecar::forget(RequestId id) {
+  const auto found = requests_.find(id);
+  if (found != requests_.end() && found->second.over && found->second.out == 0) requests_.erase(found);
+}
+
+UpstreamId Sidecar::intern(const std::string& instanceId) {
+  return ids_.emplace(instanceId, static_cast<UpstreamId>(ids_.size())).first->second;
+}
+
+Micros Sidecar::launchedAt(std::int64_t startedAtMs) const {
+  return startedAtMs == 0 ? 0 : std::max<Micros>(1, startedAtMs * 1000 + unixToSteady_);
+}
+
+}  // namespace ivypost
--- /dev/null
+++ b/src/sidecar/sidecar.h
@@ -0,0 +1,89 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// One sidecar: the only caller of the balancer. Turns what happens on the sockets into the module's events
+// and carries out its actions.
+#ifndef IVYPOST_SIDECAR_H_
+#define IVYPOST_SIDECAR_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "config.h"
+#include "discovery.h"
+#include "server.h"
+#include "upstreams.h"
+
+namespace ivypost {
+
+class Sidecar {
+ public:
+  Sidecar(boost::asio::io_context& io, Config config);
+
+  // Goes on taking requests for a while, answers all of them, then calls back.
+  void stop(std::function<void()> stopped) { server_.stop(std::move(stopped)); }
+
+  std::uint16_t port() const { return server_.port(); }
+
+ private:
+  struct Attempt {
+    UpstreamId upstream = 0;
+    Clock::time_point writtenAt{};  // its last byte; none: not written
+    bool mayHaveRun = true;         // until its outcome proves otherwise
+  };
+  // From the time a request is taken until it is over and nothing of it is out.
+  struct Request {
+    ClientRequest client;
+    std::vector<Attempt> attempts;
+    std::uint32_t out = 0;
+    bool over = false;
+  };
+
+  void onTaken(ClientRequest client);
+  void onOver(orchiddrum::RequestId id);
+  void onWritten(AttemptId id);
+  void onEnded(AttemptEnd end);
+  void onProbed(const ProbeEnd& end);
+  void onList(const InstanceList& list, orchiddrum::MembershipUpdate::Kind kind);
+  void onTimer();
+
+  // Gives the module one event and carries out what it answers.
+  void handle(const orchiddrum::Event& event);
+  void carryOut(const orchiddrum::Send& send);
+  void carryOut(const orchiddrum::Cancel& cancel);
+  void carryOut(const orchiddrum::Refuse& refuse);
+  void carryOut(const orchiddrum::Fail& fail);
+  void carryOut(const orchiddrum::SetTimer& timer);
+  void carryOut(const orchiddrum::Probe& probe);
+  void carryOut(const orchiddrum::CloseIdle& close);
+  void carryOut(const orchiddrum::Subscribe& subscribe);
+  void carryOut(const orchiddrum::Fetch& fetch);
+  void carryOut(const orchiddrum::Log& log);
+
+  void finish(orchiddrum::RequestId id, Answer answer);
+  void forget(orchiddrum::RequestId id);
+  UpstreamId intern(const std::string& instanceId);
+  Micros launchedAt(std::int64_t startedAtMs) const;
+
+  boost::asio::io_context& io_;
+  const Config config_;
+  const std::int64_t
+      unixToSteady_;  // added to Unix time in microseconds, fixed: a start must not seem to move
+  orchiddrum::Balancer balancer_;
+  boost::asio::steady_timer timer_;
+  Clock::time_point armedFor_ = Clock::time_point::max();
+  std::unordered_map<orchiddrum::RequestId, Request> requests_;
+  std::unordered_map<std::string, UpstreamId> ids_;
+  Upstreams upstreams_;
+  Discovery discovery_;
+  Server server_;
+};
+
+}  // namespace ivypost
+
+#endif  // IVYPOST_SIDECAR_H_
--- /dev/null
+++ b/src/sidecar/upstreams.cpp
@@ -0,0 +1,350 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+#include "upstreams.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+namespace ivypost {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using beast::error_code;
+using orchiddrum::Outcome;
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr std::size_t kMaxBody = 64UL * 1024;
+constexpr std::uint32_t kMaxHeader = 16 * 1024;
+// Part of the descriptors that connections to upstreams may hold.
+constexpr double kUpstreamShare = 0.35;
+// Without a connect timeout or an idle time in the settings.
+constexpr milliseconds kDefaultConnectTimeout{1000};
+constexpr milliseconds kDefaultIdleTime{5000};
+// An idle connection is dropped when this part of the upstream's own limit has passed.
+constexpr double kIdlePart = 0.9;
+// A probe is given up after this long at the most: by then it tells nothing that is still true.
+constexpr milliseconds kProbeTimeout{300};
+
+std::string_view view(beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+// Headers that speak of the client's connection, not of its request.
+constexpr http::field kHopByHop[] = {http::field::connection,       http::field::keep_alive,
+                                     http::field::proxy_connection, http::field::te,
+                                     http::field::trailer,          http::field::transfer_encoding,
+                                     http::field::upgrade,          http::field::expect};
+
+}  // namespace
+
+// An attempt or a probe, until it has ended.
+struct Upstreams::Job {
+  std::optional<AttemptOrder> attempt;  // none: a probe
+  UpstreamId upstream = 0;
+  Clock::time_point startedAt, deadline, writeBy;
+  bool written = false;
+  bool ended = false;
+  std::weak_ptr<Connection> connection;
+  std::string body, contentType, load;  // of the answer
+};
+
+// One connection to an upstream. It carries one job at a time, and is listed by the pool until it is closed.
+class Upstreams::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(Upstreams& pool, UpstreamId upstream)
+      : pool_(pool), upstream_(upstream), socket_(pool.io_), timer_(pool.io_) {}
+
+  UpstreamId upstream() const { return upstream_; }
+  Clock::time_point idleSince() const { return idleSince_; }
+
+  void open(std::shared_ptr<Job> job) {
+    job_ = std::move(job);
+    job_->connection = weak_from_this();
+    const Endpoint& address = pool_.addresses_[upstream_];
+    error_code error;
+    socket_.open(address.protocol(), error);
+    if (error) return fail(Outcome::ConnectFailed);
+    socket_.set_option(tcp::no_delay(true), error);
+    socket_.non_blocking(true, error);
+    limit(std::min({job_->deadline, job_->writeBy, Clock::now() + pool_.connectTimeout_}));
+    socket_.async_connect(address, [self = shared_from_this()](error_code failed) {
+      if (!self->job_) return;
+      if (failed) return self->fail(Outcome::ConnectFailed);
+      self->write();
+    });
+  }
+
+  void carry(std::shared_ptr<Job> job) {
+    job_ = std::move(job);
+    job_->connection = weak_from_this();
+    write();
+  }
+
+  // Whether an idle connection still stands and has nothing unasked for to read.
+  bool stands() {
+    char byte = 0;
+    error_code error;
+    socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+  }
+
+  void close() {
+    if (closed_) return;
+    closed_ = true;
+    timer_.cancel();
+    error_code ignored;
+    socket_.close(ignored);
+    const auto self = shared_from_this();  // the pool's may have been the last
+    std::erase(pool_.idle_[upstream_], self);
+    pool_.connections_.erase(this);
+  }
+
+  // Gives its job up: closes first, so that no second copy can go out while this one may still arrive.
+  void fail(Outcome outcome) {
+    const auto job = std::exchange(job_, nullptr);
+    close();
+    if (job) pool_.end(*job, outcome);
+  }
+
+ private:
+  void write() {
+    const auto now = Clock::now();
+    const Job& job = *job_;
+    if (now >= job.deadline || now >= job.writeBy) return fail(Outcome::ConnectFailed);
+    if (job.attempt) {
+      request_ = *job.attempt->message;
+      for (const http::field field : kHopByHop) request_.erase(field);
+      const auto left = duration_cast<milliseconds>(job.deadline - now).count();
+      request_.set("X-Expires-In-Ms", std::to_string(std::max<std::int64_t>(1, left)));
+      request_.version(11);
+      request_.prepare_payload();
+    } else {
+      request_ = Message(http::verb::get, "/status/load", 11);
+      request_.set(http::field::host, "upstream");
+    }
+    limit(job.deadline);
+    http::async_write(socket_, request_, [self = shared_from_this()](error_code error, std::size_t) {
+      if (!self->job_) return;
+      // An error here means that the last byte has not gone out.
+      if (error) return self->fail(Outcome::ConnectFailed);
+      self->job_->written = true;
+      if (self->job_->attempt) self->pool_.callbacks_.written(self->job_->attempt->id);
+      self->read();
+    });
+  }
+
+  void read() {
+    parser_.emplace();
+    parser_->header_limit(kMaxHeader);
+    parser_->body_limit(kMaxBody);
+    http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code error, std::size_t) {
+      if (!self->job_) return;
+      self->onRead(error);
+    });
+  }
+
+  void onRead(error_code error) {
+    if (error) return fail(Outcome::Reset);
+    const auto& answer = parser_->get();
+    if (http::to_status_class(answer.result()) == http::status_class::informational) return read();
+    const auto job = std::exchange(job_, nullptr);
+    const Outcome outcome = outcomeOf(answer);
+    job->load = std::string(view(answer["Endpoint-Load-Metrics"]));
+    if (outcome == Outcome::Ok) {
+      job->contentType = std::string(view(answer[http::field::content_type]));
+      job->body = parser_->get().body();
+    }
+    if (parser_->keep_alive() && buffer_.size() == 0) {
+      rest();
+    } else {
+      close();
+    }
+    pool_.end(*job, outcome);
+  }
+
+  static Outcome outcomeOf(const http::response<http::string_body>& answer) {
+    if (answer.result() == http::status::ok) return Outcome::Ok;
+    const bool turnedAway = answer.result() == http::status::service_unavailable ||
+                            answer.result() == http::status::gateway_timeout;
+    // A bare 503 promises nothing.
+    return turnedAway && answer["X-Never-Ran"] == "1" ? Outcome::Full : Outcome::Error;
+  }
+
+  // Goes back to the pool, and is watched for a close.
+  void rest() {
+    idleSince_ = Clock::now();
+    pool_.idle_[upstream_].push_back(shared_from_this());
+    limit(idleSince_ + pool_.idleTime_);
+    watch();
+  }
+
+  void watch() {
+    if (watching_) return;
+    watching_ = true;
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code) {
+      self->watching_ = false;
+      if (self->job_ || self->closed_) return;
+      if (!self->stands()) return self->close();
+      self->watch();
+    });
+  }
+
+  void limit(Clock::time_point until) {
+    timer_.expires_at(until);
+    timer_.async_wait([self = shared_from_this()](error_code cancelled) {
+      // A timer that was set anew since it ran out is not meant.
+      if (cancelled || self->closed_ || self->timer_.expiry() > Clock::now()) return;
+      if (!self->job_) return self->close();
+      self->fail(self->job_->written ? Outcome::Timeout : Outcome::ConnectFailed);
+    });
+  }
+
+  Upstreams& pool_;
+  const UpstreamId upstream_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  beast::flat_buffer buffer_;
+  Message request_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+  std::shared_ptr<Job> job_;
+  Clock::time_point idleSince_;
+  bool watching_ = false;
+  bool closed_ = false;
+};
+
+Upstreams::Upstreams(asio::io_context& io, const Config& config, Callbacks callbacks)
+    : io_(io),
+      config_(config),
+      callbacks_(std::move(callbacks)),
+      maxConnections_(static_cast<std::size_t>(kUpstreamShare * static_cast<double>(config.sockets))),
+      connectTimeout_(kDefaultConnectTimeout),
+      idleTime_(kDefaultIdleTime) {
+  const auto& settings = config.site.settings;
+  if (settings.connectTimeout > 0) connectTimeout_ = microseconds(settings.connectTimeout);
+  if (settings.idleClose > 0)
+    idleTime_ = microseconds(static_cast<Micros>(kIdlePart * static_cast<double>(settings.idleClose)));
+}
+
+Upstreams::~Upstreams() = default;
+
+void Upstreams::setAddress(UpstreamId upstream, const Endpoint& address) {
+  if (upstream >= addresses_.size()) {
+    addresses_.resize(upstream + 1);
+    idle_.resize(upstream + 1);
+  }
+  if (addresses_[upstream] == address) return;
+  closeIdle(upstream);  // they lead to where it was
+  addresses_[upstream] = address;
+}
+
+void Upstreams::send(AttemptOrder order) {
+  auto job = std::make_shared<Job>();
+  job->upstream = order.upstream;
+  job->deadline = order.deadline;
+  job->writeBy = order.writeBy;
+  job->attempt = std::move(order);
+  attempts_.emplace(job->attempt->id, job);
+  start(std::move(job));
+}
+
+void Upstreams::probe(UpstreamId upstream) {
+  auto job = std::make_shared<Job>();
+  job->upstream = upstream;
+  job->deadline = job->writeBy = Clock::now() + kProbeTimeout;
+  start(std::move(job));
+}
+
+void Upstreams::start(std::shared_ptr<Job> job) {
+  job->startedAt = Clock::now();
+  if (const auto open = reuse(job->upstream)) return open->carry(std::move(job));
+  if (!makeRoom()) return end(*job, Outcome::ConnectFailed);
+  const auto fresh = std::make_shared<Connection>(*this, job->upstream);
+  connections_.emplace(fresh.get(), fresh);
+  fresh->open(std::move(job));
+}
+
+// The last used is the least likely to be closed by the upstream, and lets the others idle out.
+std::shared_ptr<Upstreams::Connection> Upstreams::reuse(UpstreamId upstream) {
+  auto& idle = idle_[upstream];
+  while (!idle.empty()) {
+    auto last = idle.back();
+    idle.pop_back();
+    if (last->stands()) return last;
+    last->close();
+  }
+  return nullptr;
+}
+
+// Guards against running out of descriptors: the connection that was idle longest gives way.
+bool Upstreams::makeRoom() {
+  if (connections_.size() < maxConnections_) return true;
+  std::shared_ptr<Connection> oldest;
+  for (const auto& idle : idle_) {
+    if (!idle.empty() && (!oldest || idle.front()->idleSince() < oldest->idleSince())) oldest = idle.front();
+  }
+  if (!oldest) return false;
+  oldest->close();
+  return true;
+}
+
+void Upstreams::cancel(AttemptId id) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) return;
+  const auto job = found->second;
+  // One whose time is up has timed out, however late the timer runs.
+  const Outcome outcome = Clock::now() >= job->deadline ? Outcome::Timeout : Outcome::Cancelled;
+  if (const auto connection = job->connection.lock()) return connection->fail(outcome);
+  end(*job, outcome);
+}
+
+void Upstreams::closeIdle(UpstreamId upstream) {
+  const auto idle = idle_[upstream];
+  for (const auto& connection : idle) connection->close();
+}
+
+void Upstreams::end(Job& job, Outcome outcome) {
+  if (job.ended) return;
+  job.ended = true;
+  const auto lag = Clock::now() - job.startedAt;
+  if (!job.attempt) {
+    const std::string& text = job.load.empty() ? job.body : job.load;
+    asio::post(io_, [this, result = ProbeEnd{job.upstream, outcome == Outcome::Ok, lag, report(text)}] {
+      callbacks_.probed(result);
+    });
+    return;
+  }
+  const AttemptId id = job.attempt->id;
+  AttemptEnd result{id, outcome, lag, std::move(job.body), std::move(job.contentType), report(job.load)};
+  attempts_.erase(id);
+  asio::post(io_, [this, result = std::move(result)]() mutable { callbacks_.ended(std::move(result)); });
+}
+
+// `TEXT inflight=7, queue=2`; what is not of this form or not asked for is passed over.
+std::optional<orchiddrum::LoadReport> Upstreams::report(std::string_view text) const {
+  orchiddrum::LoadReport report;
+  bool any = false;
+  std::string words(text);
+  std::replace(words.begin(), words.end(), ',', ' ');
+  for (const std::string_view part : orchiddrum::split(words, ' ')) {
+    const std::size_t equals = part.find('=');
+    if (equals == std::string_view::npos) continue;
+    const auto column = orchiddrum::toColumn(part.substr(0, equals));
+    if (!column) continue;
+    try {
+      orchiddrum::setColumn(report, *column, orchiddrum::toNumber("load", part.substr(equals + 1)));
+      any = true;
+    } catch (const orchiddrum::FormatError&) {
+      continue;
+    }
+  }
+  return any ? std::optional(report) : std::nullopt;
+}
+
+}  // namespace ivypost
--- /dev/null
+++ b/src/sidecar/upstreams.h
@@ -0,0 +1,101 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// The upstream side: a pool of connections, and attempts and probes over them. Each attempt ends in exactly
+// one outcome, each probe in one result, always by a callback from the event loop and never from within a
+// call. Nothing is sent twice by itself.
+#ifndef IVYPOST_UPSTREAMS_H_
+#define IVYPOST_UPSTREAMS_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "config.h"
+
+namespace ivypost {
+
+using Clock = std::chrono::steady_clock;
+using Message = boost::beast::http::request<boost::beast::http::string_body>;
+
+struct AttemptId {
+  orchiddrum::RequestId request = 0;
+  std::uint32_t number = 0;
+  auto operator<=>(const AttemptId&) const = default;
+};
+
+struct AttemptOrder {
+  AttemptId id;
+  UpstreamId upstream = 0;
+  std::shared_ptr<const Message> message;
+  Clock::time_point deadline;  // not waited for any longer
+  Clock::time_point writeBy;   // not sent any later: an upstream would no longer know it for a repeat
+};
+
+struct AttemptEnd {
+  AttemptId id;
+  orchiddrum::Outcome outcome = orchiddrum::Outcome::Ok;
+  Clock::duration lag{};
+  std::string body, contentType;  // of an Ok
+  std::optional<orchiddrum::LoadReport> report;
+};
+
+struct ProbeEnd {
+  UpstreamId upstream = 0;
+  bool ok = false;
+  Clock::duration lag{};
+  std::optional<orchiddrum::LoadReport> report;
+};
+
+class Upstreams {
+ public:
+  struct Callbacks {
+    std::function<void(AttemptId)> written;  // its last byte has gone out
+    std::function<void(AttemptEnd)> ended;
+    std::function<void(ProbeEnd)> probed;
+  };
+
+  Upstreams(boost::asio::io_context& io, const Config& config, Callbacks callbacks);
+  Upstreams(const Upstreams&) = delete;
+  Upstreams& operator=(const Upstreams&) = delete;
+  ~Upstreams();
+
+  void setAddress(UpstreamId upstream, const Endpoint& address);
+  void send(AttemptOrder order);
+  void cancel(AttemptId id);  // closes its connection at once; ignored when it has ended
+  void probe(UpstreamId upstream);
+  void closeIdle(UpstreamId upstream);
+
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  class Connection;
+  struct Job;
+
+  void start(std::shared_ptr<Job> job);
+  std::shared_ptr<Connection> reuse(UpstreamId upstream);
+  bool makeRoom();
+  void end(Job& job, orchiddrum::Outcome outcome);
+  std::optional<orchiddrum::LoadReport> report(std::string_view text) const;
+
+  boost::asio::io_context& io_;
+  const Config& config_;
+  Callbacks callbacks_;
+  std::size_t maxConnections_;
+  Clock::duration connectTimeout_, idleTime_;
+  std::vector<Endpoint> addresses_;                             // by upstream
+  std::vector<std::vector<std::shared_ptr<Connection>>> idle_;  // by upstream, the last used at the back
+  std::map<Connection*, std::shared_ptr<Connection>> connections_;
+  std::map<AttemptId, std::shared_ptr<Job>> attempts_;  // that have not ended
+};
+
+}  // namespace ivypost
+
+#endif  // IVYPOST_UPSTREAMS_H_
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -3,93 +3,11 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
 #include <limits>
 
 namespace orchiddrum::wire {
 namespace {
 
-constexpr std::int64_t kMaxTime = std::int64_t{1} << 53;
-constexpr std::int64_t kMaxCount = 1'000'000'000;
-
-[[noreturn]] void bad(std::string_view what, std::string_view value) {
-  throw WireError(std::string(what) + " '" + std::string(value.substr(0, 80)) + "'");
-}
-
-std::int64_t toInteger(std::string_view key, std::string_view value, std::int64_t low, std::int64_t high) {
-  std::int64_t result = 0;
-  const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), result);
-  if (error != std::errc() || end != value.data() + value.size())
-    bad(std::string(key) + " is no integer:", value);
-  if (result < low || result > high) bad(std::string(key) + " is out of range:", value);
-  return result;
-}
-
-double toNumber(std::string_view key, std::string_view value) {
-  double result = 0;
-  const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), result);
-  if (error != std::errc() || end != value.data() + value.size() || !std::isfinite(result)) {
-    bad(std::string(key) + " is no number:", value);
-  }
-  return result;
-}
-
-bool toFlag(std::string_view key, std::string_view value) {
-  if (value == "1" || value == "true") return true;
-  if (value == "0" || value == "false") return false;
-  bad(std::string(key) + " is no bool:", value);
-}
-
-std::vector<std::string_view> split(std::string_view list, char separator) {
-  std::vector<std::string_view> parts;
-  while (!list.empty()) {
-    const std::size_t at = list.find(separator);
-    parts.push_back(list.substr(0, at));
-    if (at == std::string_view::npos) break;
-    list.remove_prefix(at + 1);
-  }
-  return parts;
-}
-
-std::map<std::string, std::uint32_t, std::less<>> numbered(const Line& line, std::string_view key) {
-  std::map<std::string, std::uint32_t, std::less<>> names;
-  for (const std::string_view name : split(line.find(key).value_or(""), ',')) {
-    names.emplace(name, static_cast<std::uint32_t>(names.size()));
-  }
-  return names;
-}
-
-std::uint32_t lookUp(const std::map<std::string, std::uint32_t, std::less<>>& names, std::string_view what,
-                     std::string_view name) {
-  const auto found = names.find(name);
-  if (found == names.end()) bad(std::string(what) + " is not in the settings:", name);
-  return found->second;
-}
-
-Semantics toSemantics(std::string_view value) {
-  if (value == "free") return Semantics::Idempotent;
-  if (value == "guarded") return Semantics::Keyed;
-  if (value == "single_shot") return Semantics::Unsafe;
-  bad("unknown semantics", value);
-}
-
-RepeatGroup toGroup(std::string_view value) {
-  if (value == "all") return RepeatGroup::All;
-  if (value == "zone") return RepeatGroup::Zone;
-  if (value == "cell") return RepeatGroup::Cell;
-  bad("unknown repeat group", value);
-}
-
-std::optional<ReportColumn> toColumn(std::string_view value) {
-  if (value == "busy_reqs") return ReportColumn::BusyRequests;
-  if (value == "pending") return ReportColumn::Queued;
-  if (value == "cpu_share") return ReportColumn::CpuShare;
-  if (value == "svc_ms") return ReportColumn::ServiceMillis;
-  if (value == "served_ps") return ReportColumn::ServedPerSecond;
-  if (value == "failed_ps") return ReportColumn::FailedPerSecond;
-  return std::nullopt;
-}
-
 Outcome toOutcome(std::string_view value) {
   if (value == "ok") return Outcome::Ok;
   if (value == "error") return Outcome::Error;
@@ -104,67 +22,6 @@
 
 }  // namespace
 
-Line::Line(std::string_view text) {
-  const std::size_t head = text.find(' ');
-  name_ = text.substr(0, head);
-  if (name_.empty() || name_.find('=') != std::string_view::npos) bad("line without a name:", text);
-  if (head == std::string_view::npos) return;
-  fields_.reserve(12);
-  for (std::string_view rest = text.substr(head + 1);;) {
-    const std::size_t end = rest.find(' ');
-    const std::string_view part = rest.substr(0, end);
-    const std::size_t equals = part.find('=');
-    if (equals == 0 || equals == std::string_view::npos) bad("not a name=value pair:", part);
-    fields_.emplace_back(part.substr(0, equals), part.substr(equals + 1));
-    if (end == std::string_view::npos) break;
-    rest.remove_prefix(end + 1);
-  }
-}
-
-std::optional<std::string_view> Line::find(std::string_view key) const {
-  for (const auto& [name, value] : fields_) {
-    if (name == key) return value;
-  }
-  return std::nullopt;
-}
-
-std::string_view Line::text(std::string_view key) const {
-  const auto value = find(key);
-  if (!value || value->empty()) bad("missing value:", key);
-  return *value;
-}
-
-std::int64_t Line::integer(std::string_view key, std::int64_t low, std::int64_t high) const {
-  return toInteger(key, text(key), low, high);
-}
-
-std::int64_t Line::integer(std::string_view key, std::int64_t low, std::int64_t high,
-                           std::int64_t absent) const {
-  const auto value = find(key);
-  return value ? toInteger(key, *value, low, high) : absent;
-}
-
-double Line::number(std::string_view key, double absent) const {
-  const auto value = find(key);
-  return value ? toNumber(key, *value) : absent;
-}
-
-bool Line::flag(std::string_view key) const {
-  const auto value = find(key);
-  return value && toFlag(key, *value);
-}
-
-RequestId Line::request(std::string_view key) const {
-  const std::string_view value = text(key);
-  RequestId id = 0;
-  for (const char c : value) {
-    if (!((c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'))) bad("request id is not lower-case hex:", value);
-    id = id << 4 | static_cast<RequestId>(c <= '9' ? c - '0' : c - 'a' + 10);
-  }
-  if (value.size() != 16) bad("request id has not 16 digits:", value);
-  return id;
-}
-
 SheetEntry parseSheetEntry(const Line& line) {
   if (line.name() != "entry") bad("expected an entry line, got", line.name());
   SheetEntry entry;
@@ -188,84 +45,10 @@
   return entry;
 }
 
-Wire::Wire(const Line& create) {
-  seed_ = static_cast<std::uint64_t>(create.integer("entropy", 0, std::numeric_limits<std::int64_t>::max()));
-  zones_ = numbered(create, "zones");
-  kinds_ = numbered(create, "skus");
-  Settings& s = settings_;
-  const std::int64_t classes = create.integer("classes.count", 1, 10'000);
-  for (std::int64_t n = 0; n < classes; ++n) {
-    const std::string at = "classes." + std::to_string(n) + ".";
-    RequestClass c;
-    c.aim = create.integer(at + "aim", 1, kMaxTime);
-    c.aimStretch = create.number(at + "aimStretch", 0);
-    c.deadline = create.integer(at + "deadline", 1, kMaxTime);
-    c.semantics = toSemantics(create.text(at + "semantics"));
-    c.group = toGroup(create.find(at + "group").value_or("all"));
-    c.repeatWindow = create.integer(at + "repeatWindow", 0, kMaxTime, 0);
-    c.lateWorth = create.number(at + "lateWorth", 0);
-    c.value = create.number(at + "value", 1);
-    c.stream = create.flag(at + "stream");
-    classes_.emplace(create.text(at + "name"), static_cast<std::uint32_t>(n));
-    s.classes.push_back(c);
-  }
-  const std::int64_t tenants = create.integer("projects.count", 0, 1'000'000, 0);
-  for (std::int64_t n = 0; n < tenants; ++n) {
-    const std::string at = "projects." + std::to_string(n) + ".";
-    s.tenants.push_back({create.number(at + "quotaPerS", 0), create.number(at + "share", 0)});
-    tenants_.emplace(create.text(at + "name"), static_cast<std::uint32_t>(n));
-  }
-  s.zones = static_cast<std::uint32_t>(std::max<std::size_t>(1, zones_.size()));
-  s.zone = zones_.empty()
-               ? 0
-               : lookUp(zones_, "locality", create.find("locality").value_or(zones_.begin()->first));
-  s.kinds = static_cast<std::uint32_t>(std::max<std::size_t>(1, kinds_.size()));
-  s.sidecars = static_cast<std::uint32_t>(create.integer("balancers", 1, 1'000'000, 1));
-  s.mustSubscribe = create.find("membershipMode").value_or("") == "subscribe";
-  s.resolution = create.integer("resolution", 1, kMaxTime, s.resolution);
-  s.connectTimeout = create.integer("limits.connectTimeout", 0, kMaxTime, 0);
-  s.idleClose = create.integer("limits.idleClose", 0, kMaxTime, 0);
-  s.maxStreams = static_cast<std::uint32_t>(create.integer("limits.maxStreams", 0, kMaxCount, 0));
-  s.maxAttempts = static_cast<std::uint32_t>(create.integer("limits.maxAttempts", 0, 1'000'000, 1));
-  s.maxOpen = static_cast<std::uint32_t>(create.integer("limits.maxOpen", 0, kMaxCount, 0));
-  s.maxRetryAfter = create.integer("limits.maxRetryAfter", 0, kMaxTime, 0);
-  s.retryAfter = create.flag("limits.retryAfter");
-  s.mayCancel = create.flag("limits.mayCancel");
-  s.mayProbe = create.flag("limits.probing");
-  s.secondCopies = create.flag("limits.secondCopies");
-  s.keysWarm = create.flag("familyInfo.warmKeys");
-  s.worthByWork = create.find("worthBy").value_or("request") == "work";
-  s.overShareWorth = create.number("overShareWorth", 1);
-  s.crossZonePrice = create.number("prices.crossZone", 0);
-  s.probePrice = create.number("prices.probe", 0);
-  s.wastePrice = create.number("prices.waste", 0);
-  const std::string_view how = create.find("report.how").value_or("none");
-  s.reports = how == "answers" ? ReportSource::Answers
-              : how == "probe" ? ReportSource::Probes
-                               : ReportSource::None;
-  for (const std::string_view column : split(create.find("report.columns").value_or(""), ',')) {
-    columns_.push_back(toColumn(column));
-    s.reportsBusy |= columns_.back() == ReportColumn::BusyRequests;
-  }
-  s.answerSlack = create.integer("contract.answerSlack", 0, kMaxTime, 0);
-  s.askWithin = create.integer("contract.askWithin", 0, kMaxTime, 0);
-  s.startCapacity = create.number("contract.startCapacity", 1);
-  s.coldFor = create.integer("contract.cold", 0, kMaxTime, 0);
-  s.drainGrace = create.integer("contract.stopSendingWithin", 0, kMaxTime, 0);
-  s.fallMultiple = create.number("contract.fallMultiple", 0);
-  s.fallWindow = create.integer("contract.fall", 0, kMaxTime, 0);
-  s.lookBack = create.integer("contract.lookBack", 0, kMaxTime, 0);
-  s.extraFloor = create.number("contract.extraFloor", 0);
-  s.furtherRatio = create.number("contract.furtherRatio", 0);
-  s.hangUpWithin = create.integer("contract.hangUpWithin", 0, kMaxTime, 0);
-}
-
-// FNV-1a, since std::hash may differ from one sidecar's build to another's.
-static std::uint64_t identity(std::string_view name) {
-  std::uint64_t hash = 0xcbf29ce484222325u;
-  for (const char c : name) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3u;
-  return hash;
-}
+Wire::Wire(const Line& create)
+    : site_(readSite(create)),
+      seed_(static_cast<std::uint64_t>(
+          create.integer("entropy", 0, std::numeric_limits<std::int64_t>::max()))) {}
 
 UpstreamId Wire::intern(const std::string& name) {
   const auto [at, fresh] = ids_.emplace(name, static_cast<UpstreamId>(upstreams_.size()));
@@ -285,29 +68,9 @@
   if (!row || row->empty()) return std::nullopt;
   LoadReport report;
   const auto values = split(*row, ',');
-  for (std::size_t n = 0; n < values.size() && n < columns_.size(); ++n) {
-    if (!columns_[n] || values[n].empty()) continue;
-    const double value = toNumber("gauge", values[n]);
-    switch (*columns_[n]) {
-      case ReportColumn::BusyRequests:
-        report.busyRequests = value;
-        break;
-      case ReportColumn::Queued:
-        report.queued = value;
-        break;
-      case ReportColumn::CpuShare:
-        report.cpuShare = value;
-        break;
-      case ReportColumn::ServiceMillis:
-        report.serviceMillis = value;
-        break;
-      case ReportColumn::ServedPerSecond:
-        report.servedPerSecond = value;
-        break;
-      case ReportColumn::FailedPerSecond:
-        report.failedPerSecond = value;
-        break;
-    }
+  for (std::size_t n = 0; n < values.size() && n < site_.columns.size(); ++n) {
+    if (site_.columns[n] && !values[n].empty())
+      setColumn(report, *site_.columns[n], toNumber("gauge", values[n]));
   }
   return report;
 }
@@ -317,9 +80,10 @@
   if (name == "ingress") {
     NewRequest e;
     e.request = line.request("job");
-    e.requestClass = lookUp(classes_, "category", line.text("category"));
+    e.requestClass = lookUp(site_.classes, "category", line.text("category"));
     const std::string_view tenant = line.find("project").value_or("");
-    if (!tenants_.empty() && !tenant.empty() && tenant != "0") e.tenant = lookUp(tenants_, "project", tenant);
+    if (!site_.tenants.empty() && !tenant.empty() && tenant != "0")
+      e.tenant = lookUp(site_.tenants, "project", tenant);
     if (line.find("targetKey")) {
       e.key = static_cast<std::uint64_t>(line.integer("targetKey", 0, kMaxTime));
     }
@@ -373,8 +137,8 @@
     }
     if (sheet == nullptr) bad("unknown sheet", line.text("sheet"));
     for (const SheetEntry& entry : *sheet) {
-      const std::uint32_t zone = entry.zone.empty() ? 0 : lookUp(zones_, "locality", entry.zone);
-      const std::uint32_t kind = entry.kind.empty() ? 0 : lookUp(kinds_, "hw", entry.kind);
+      const std::uint32_t zone = entry.zone.empty() ? 0 : lookUp(site_.zones, "locality", entry.zone);
+      const std::uint32_t kind = entry.kind.empty() ? 0 : lookUp(site_.kinds, "hw", entry.kind);
       e.entries.push_back({intern(entry.upstream), zone, kind, entry.cell, entry.state, entry.size,
                            entry.launchedAt, identity(entry.upstream)});
     }
