--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -396,7 +396,8 @@
   const Config config = parseConfig(R"({"name":"n3","listen":"127.0.0.4:8080","discovery":"127.2.0.1:8500",
     "seed":"8c1f30d27a5be964","limits":{"sockets":512},"unheard":{"of":1},
     "known":{"generation":41,"reset":true,"instances":[
-      {"instanceId":"s-1","hostPort":"127.1.0.18:8080","zone":"a","machineType":"m2","cell":3,"lifecycle":"up","weight":1.5,"startedAtMs":7}]},
+      {"instanceId":"s-1","hostPort":"127.1.0.18:8080","zone":"a","machineType":"m2",
+        "cell":3,"lifecycle":"up","weight":1.5,"startedAtMs":7}]},
     "settings":{"classes":[
       {"name":"x","aim":5,"deadline":9,"semantics":"guarded","group":"cell","repeatWindow":4}],
       "skus":["m1","m2"],"zones":["b","a"],"locality":"a",
