Follow discovery to a new address at SIGHUP instead of dying of it

Three lines would have undone a mere handler: the environment went before the file in told(), which can't change while the program runs; the connection read the address from the configuration it was built with; and generation_ would have been sent to an agent that counts anew.

Now SIGHUP reads the file again; a bad one is one line in the log and nothing else. Discovery::moveTo drops the waiting call and asks the new address for its whole list until it comes, also through an outage.

Tests: a move with an outage, a partial list and a lower generation, and back; the program under SIGHUP with a bad and a good file.

--- a/src/sidecar/config.cpp
+++ b/src/sidecar/config.cpp
@@ -100,9 +100,10 @@
   return seed;
 }
 
-// What stands in the environment goes before the file.
+// The file can be replaced while the program runs and the environment can't, so the file goes first.
 std::string told(const json& file, const char* key, const char* variable) {
-  if (const char* value = std::getenv(variable); value != nullptr && *value != '\0') return value;
+  const char* const value = std::getenv(variable);
+  if (!file.contains(key) && value != nullptr && *value != '\0') return value;
   return file.at(key).get<std::string>();
 }
 
--- a/src/sidecar/discovery.cpp
+++ b/src/sidecar/discovery.cpp
@@ -45,7 +45,7 @@
         self->fail("no answer in time");
     });
     if (socket_.is_open()) return write();
-    socket_.async_connect(owner_->config_.discovery, [self = shared_from_this()](error_code error) {
+    socket_.async_connect(owner_->address_, [self = shared_from_this()](error_code error) {
       if (self->owner_ == nullptr) return;
       if (error) return self->fail(error.message());
       error_code ignored;
@@ -110,7 +110,7 @@
 
 Discovery::Discovery(asio::io_context& io, const Config& config, Callbacks callbacks)
     : io_(io),
-      config_(config),
+      address_(config.discovery),
       callbacks_(std::move(callbacks)),
       pause_(io),
       generation_(config.known.generation),
@@ -132,6 +132,16 @@
   callAfter(milliseconds(0));
 }
 
+void Discovery::moveTo(const Endpoint& address) {
+  if (address == address_) return;
+  std::fprintf(stderr, "discovery moves to %s:%u\n", address.address().to_string().c_str(), address.port());
+  address_ = address;
+  generation_.reset();
+  watching_ = true;
+  if (connection_) std::exchange(connection_, nullptr)->close();
+  callAfter(milliseconds(0));
+}
+
 void Discovery::callAfter(milliseconds pause) {
   pause_.expires_after(pause);
   pause_.async_wait([this](error_code cancelled) {
@@ -142,8 +152,9 @@
 void Discovery::call() {
   if (!watching_ && !fetching_) return;
   std::string target = "/v1/endpoints";
-  const milliseconds wait = fetching_ ? milliseconds(0) : pushed_ ? kPushedWait : kAskedWait;
-  if (!fetching_) target += "?index=" + std::to_string(generation_) + "&wait=" + std::to_string(wait.count());
+  const bool whole = fetching_ || !generation_;
+  const milliseconds wait = whole ? milliseconds(0) : pushed_ ? kPushedWait : kAskedWait;
+  if (!whole) target += "?index=" + std::to_string(*generation_) + "&wait=" + std::to_string(wait.count());
   if (!connection_) connection_ = std::make_shared<Connection>(*this);
   connection_->call(target, wait + (pushed_ ? kPatience : kAskedPatience));
 }
@@ -152,7 +163,8 @@
   InstanceList list;
   try {
     list = parseInstances(text);
-    if (fetching_ && !list.whole) throw orchiddrum::FormatError("the whole list was asked for, and not sent");
+    if ((fetching_ || !generation_) && !list.whole)
+      throw orchiddrum::FormatError("the whole list was asked for, and not sent");
   } catch (const orchiddrum::FormatError& error) {
     return failed(error.what());
   }
--- a/src/sidecar/discovery.h
+++ b/src/sidecar/discovery.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "config.h"
@@ -32,6 +33,10 @@
   void watch();  // begins the watch
   void fetch();  // asks for the whole list once
 
+  // Watches from now on at another address. Its generations are its own: the whole list is asked for, again
+  // and again until it comes.
+  void moveTo(const Endpoint& address);
+
  private:
   class Connection;
 
@@ -41,12 +46,12 @@
   void callAfter(std::chrono::milliseconds pause);
 
   boost::asio::io_context& io_;
-  const Config& config_;
+  Endpoint address_;
   Callbacks callbacks_;
   boost::asio::steady_timer pause_;
   std::shared_ptr<Connection> connection_;
-  std::int64_t generation_;
-  const bool pushed_;  // the address is an agent's, whose watch never ends
+  std::optional<std::int64_t> generation_;  // none: the next call asks for the whole list
+  const bool pushed_;                       // the address is an agent's, whose watch never ends
   bool watching_ = false;
   bool fetching_ = false;
   bool lost_ = false;
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -25,6 +25,9 @@
  public:
   Sidecar(boost::asio::io_context& io, Config config);
 
+  // Takes over what may change while it runs: where discovery is. The rest waits for the next start.
+  void reload(const Config& config) { discovery_.moveTo(config.discovery); }
+
   // Goes on taking requests for a while, answers all of them, then calls back.
   void stop(std::function<void()> stopped) { server_.stop(std::move(stopped)); }
 
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -171,6 +171,41 @@
   }
 }
 
+// Guards against a new configuration that is taken late or not at all: the waiting call is dropped, the new
+// address is asked for its whole list until it comes, and its generations are not judged by the old one's.
+TEST_F(SidecarTest, FollowsDiscoveryToItsNewAddress) {
+  start(2);
+  Peer moved(io);
+  const auto waiting = discovery.requests.back().line;
+  sidecar->reload(configure({{"discovery", moved.address()}}));
+  ASSERT_TRUE(wait([&] { return waiting->closed && moved.requests.size() == 1; }));
+  moved.requests[0].drop();  // an outage
+  ASSERT_TRUE(wait([&] { return moved.requests.size() == 2; }));
+  moved.requests[1].reply(200, list(5, false).dump());  // not the whole list
+  ASSERT_TRUE(wait([&] { return moved.requests.size() == 3; }));
+  for (const auto& call : moved.requests) EXPECT_EQ(call.message.target(), "/v1/endpoints");
+  states[0] = "draining";
+  moved.requests[2].reply(200, list(3, true).dump());
+  ASSERT_TRUE(wait([&] { return moved.requests.size() == 4; }));
+  EXPECT_EQ(moved.requests[3].message.target(), "/v1/endpoints?index=3&wait=1000");
+  const Client from = client();
+  for (int n = 0; n < 12; ++n) {
+    Request request;
+    request.trace = traceOf(n + 1);
+    from.send(request.text());
+    const auto turn = static_cast<std::size_t>(n);
+    ASSERT_TRUE(wait([&] { return arrived() == turn + 1; }));
+    ASSERT_EQ(upstreams[0]->requests.size(), 0u);
+    upstreams[1]->requests[turn].reply(200, "");
+    ASSERT_TRUE(wait([&] { return from.answers() == turn + 1; }));
+  }
+  // And back, as often as it is told to.
+  sidecar->reload(configure(json::object()));
+  const auto before = discovery.requests.size();
+  ASSERT_TRUE(wait([&] { return discovery.requests.size() >= before + 2; }));
+  EXPECT_EQ(discovery.requests[before].message.target(), "/v1/endpoints");
+}
+
 // Guards against work for clients that have left: their attempt's connection is closed, and nothing else
 // ends.
 TEST_F(SidecarTest, GivesUpForAClientThatLeaves) {
--- a/tests/start_test.sh
+++ b/tests/start_test.sh
@@ -34,6 +34,20 @@
   sleep 0.1
 done
 grep -q 'the last list stays' "$dir/err" || fail "no word of the lost discovery: $(cat "$dir/err")"
+# At SIGHUP it reads the file anew: a bad one changes nothing, a good one moves discovery, and it goes on.
+told() {
+  for _ in $(seq 300); do
+    grep -q "$1" "$dir/err" && return
+    sleep 0.1
+  done
+  fail "at SIGHUP no word of '$1': $(cat "$dir/err")"
+}
+printf '%s' "${good/\"5\"/}" >"$dir/config.json"
+kill -HUP "$pid"
+told 'the configuration stays as it was'
+printf '%s' "${good/127.0.0.1:1/127.0.0.1:2}" >"$dir/config.json"
+kill -HUP "$pid"
+told 'discovery moves to 127.0.0.1:2'
 kill -TERM "$pid"
 wait "$pid"
 code=$?
