Give requests numbers of the server's own; turn away an id that was lately open

Cause: requests_ in Sidecar and the module's map were keyed by the client's X-Trace-Id, and Server::check looked only at requests that the client still waits for. An id that came again while old attempts were ending met the old Request: emplace() failed, the module threw "request id is open already" and the exception ended io.run().

Now the server numbers requests itself, so nothing inside depends on what clients send, and an X-Trace-Id stays taken for 3 s after its request: a copy of an open request that a full core reads late is still turned away with 400. The memory of ids is bounded by the rate (about 1,000 at 320 requests a second).

Ruled out: refusing by 503, since the id of an open unsafe request may run.

--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -33,6 +33,9 @@
 constexpr milliseconds kLinger{200};
 // The longest time that a client may ask for, so that sums of times stay far from overflow.
 constexpr std::int64_t kMaxExpiresInMs = 3'600'000;
+// A second request under the id of an open one may be read when that one is over: ids are remembered longer
+// than a full core delays reading.
+constexpr milliseconds kTraceMemory{3000};
 // New connections go on coming for up to 0.4 s after SIGTERM.
 constexpr milliseconds kAcceptAfterStop{500};
 // SIGKILL comes no sooner than the longest deadline (3 s) and 0.7 s after SIGTERM.
@@ -86,6 +89,9 @@
     return peek() == asio::error::would_block;
   }
 
+  RequestId request() const { return request_; }
+  std::uint64_t trace() const { return trace_; }
+
   // Answers what the client has sent, and goes on or hangs up.
   void write(Answer answer) {
     state_ = State::Writing;
@@ -115,7 +121,7 @@
     socket_.close(ignored);
     const auto self = shared_from_this();  // the server's may have been the last
     server_.sessions_.erase(self);
-    if (waiting && server_.open_.erase(request_) > 0) server_.callbacks_.over(request_);
+    if (waiting && server_.endRequest(*this)) server_.callbacks_.over(request_);
   }
 
  private:
@@ -184,13 +190,14 @@
     auto& request = std::get<ClientRequest>(checked);
     state_ = State::Waiting;
     request_ = request.id;
+    trace_ = request.trace;
+    server_.traces_.insert(trace_);
     server_.open_.emplace(request_, shared_from_this());
     watch();
     // Guards the last answer against everything else: a late timer, a full core, a module that is wrong.
     timer_.expires_at(request.deadline + kBackstop);
     timer_.async_wait([self = shared_from_this()](error_code cancelled) {
-      if (cancelled || self->state_ != State::Waiting || self->server_.open_.erase(self->request_) == 0)
-        return;
+      if (cancelled || self->state_ != State::Waiting || !self->server_.endRequest(*self)) return;
       self->write(self->server_.plain(504, "no answer in time"));
       self->server_.callbacks_.over(self->request_);
     });
@@ -230,6 +237,7 @@
   std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::string_body> response_;
   RequestId request_ = 0;
+  std::uint64_t trace_ = 0;
   State state_ = State::Idle;
   bool keepAlive_ = true;
   bool watching_ = false;
@@ -289,10 +297,23 @@
   const auto found = open_.find(id);
   if (found == open_.end()) return;
   const auto session = found->second;
-  open_.erase(found);
+  endRequest(*session);
   session->write(std::move(answer));
 }
 
+bool Server::endRequest(const Session& session) {
+  if (open_.erase(session.request()) == 0) return false;
+  pastTraces_.emplace_back(Clock::now(), session.trace());
+  return true;
+}
+
+void Server::forgetTraces() {
+  while (!pastTraces_.empty() && Clock::now() - pastTraces_.front().first > kTraceMemory) {
+    traces_.erase(pastTraces_.front().second);
+    pastTraces_.pop_front();
+  }
+}
+
 Answer Server::plain(unsigned status, std::string text) const {
   Answer answer;
   answer.status = status;
@@ -305,7 +326,7 @@
   return sessions_.size() > maxSessions_ || (most > 0 && open_.size() >= most);
 }
 
-std::variant<ClientRequest, Answer> Server::check(Message message) const {
+std::variant<ClientRequest, Answer> Server::check(Message message) {
   const std::string_view target(message.target().data(), message.target().size());
   const std::string_view path = target.substr(0, target.find('?'));
   const bool isGet = message.method() == http::verb::get;
@@ -333,10 +354,11 @@
     return plain(400, "Idempotency-Key is missing");
 
   const auto trace = header(message, "X-Trace-Id").value_or("");
-  const auto id = trace.size() == 16 ? toNumber<RequestId>(trace, 16) : std::nullopt;
+  const auto id = trace.size() == 16 ? toNumber<std::uint64_t>(trace, 16) : std::nullopt;
   if (!id) return plain(400, "X-Trace-Id is missing or has not 16 hexadecimal digits");
-  if (open_.count(*id) > 0) return plain(400, "X-Trace-Id is in use by an open request");
-  request.id = *id;
+  forgetTraces();
+  if (traces_.count(*id) > 0) return plain(400, "X-Trace-Id is or was lately another request's");
+  request.trace = *id;
 
   const auto expires = toNumber<std::int64_t>(header(message, "X-Expires-In-Ms").value_or(""));
   if (!expires || *expires < 0 || *expires > kMaxExpiresInMs)
@@ -357,6 +379,7 @@
   if (parts.size() > 1) request.key = orchiddrum::identity(parts.back());
   request.resent = header(message, "X-Second-Try").value_or("") == "1";
   if (full()) return plain(503, "too many open requests");
+  request.id = ++lastId_;
   request.message = std::make_shared<const Message>(std::move(message));
   return request;
 }
--- a/src/sidecar/server.h
+++ b/src/sidecar/server.h
@@ -9,12 +9,14 @@
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <variant>
 
 #include "config.h"
@@ -26,12 +28,13 @@
 
 // A request that passed all checks.
 struct ClientRequest {
-  orchiddrum::RequestId id = 0;
+  orchiddrum::RequestId id = 0;  // the server's own number, never given twice; a client's may come again
   std::uint32_t requestClass = 0;
   std::optional<std::uint32_t> tenant;
   std::optional<std::uint64_t> key;
   std::optional<Micros> work;
   bool resent = false;
+  std::uint64_t trace = 0;  // the client's X-Trace-Id
   Micros expiresIn = 0;
   Clock::time_point deadline;
   std::shared_ptr<const Message> message;
@@ -73,10 +76,13 @@
   void admit(boost::asio::ip::tcp::socket socket);
   void closeIdle(std::size_t atMost);
   void closeAcceptor();
+  // The request is over. False if it was before.
+  bool endRequest(const Session& session);
+  void forgetTraces();
   void finish(Clock::time_point lingerUntil, Clock::time_point stopBy);
 
   // What the request reads as, or the answer it gets at once.
-  std::variant<ClientRequest, Answer> check(Message message) const;
+  std::variant<ClientRequest, Answer> check(Message message);
   Answer plain(unsigned status, std::string text) const;
   bool full() const;
 
@@ -89,7 +95,10 @@
   bool stopping_ = false;
   std::function<void()> stopped_;
   std::unordered_set<std::shared_ptr<Session>> sessions_;
+  orchiddrum::RequestId lastId_ = 0;
   std::unordered_map<orchiddrum::RequestId, std::shared_ptr<Session>> open_;
+  std::unordered_set<std::uint64_t> traces_;  // X-Trace-Ids that are open or were lately
+  std::deque<std::pair<Clock::time_point, std::uint64_t>> pastTraces_;  // the longest over first
 };
 
 }  // namespace ivypost
