Use an upstream's number again once nothing refers to it; close what led there

Cause: Sidecar::intern gave every id ever named a number of its own, and addresses_, idle_ and the module's upstreams_ grow by number; with upstreams replaced for good nothing bounds them. Idle connections to one that had gone stayed until they idled out, a busy one went back to the pool although its upstream had moved, and an address was served under the old id for as long as the list still named it.

Now a number is free when no list names its upstream and no request that is still remembered and no probe refers to it; the module takes another identity under a number for a new upstream and drops what it had learned. Of two ids at one address the process that started last has it. Connections to a gone upstream are closed, idle ones at once, busy ones with their attempt. RetryBudget also trims what it remembers at each request: left() alone did so only when something was repeated.

Ruled out: a timed quarantine for numbers; it would have to be longer than the longest deadline a client may ask for. Pending HangUp wakes need no count: they look whether the number is listed.

Test: 40 upstreams one after another at one address take two numbers.

--- a/include/orchiddrum/balancer.h
+++ b/include/orchiddrum/balancer.h
@@ -15,7 +15,7 @@
 // order in which they have to be carried out. It never clears the buffer.
 //
 // Memory. Grows with the requests that are open or have an attempt out, and by about 200 bytes for each
-// upstream that a list has ever named; the retry budget keeps a time for each request of the last lookBack.
+// number that the caller has given to an upstream; the retry budget keeps a time for each request of the last lookBack.
 //
 // Connections. The caller opens them as needed; CloseIdle asks to close those to an upstream that are not in
 // use. Where nothing is known of them (idleClose 0) the balancer keeps no home and closes on drains only.
@@ -23,7 +23,7 @@
 // Probes. Probe asks for one ProbeResult, whatever comes of it; a result that never comes is given up.
 //
 // Not decided on yet. Some settings are part of the interface, but no decision reads them: kinds (checked
-// only), keysWarm and with it key and identity, connectTimeout, maxOpen, maxRetryAfter, retryAfter,
+// only), keysWarm and with it key, connectTimeout, maxOpen, maxRetryAfter, retryAfter,
 // reports, wastePrice, answerSlack, drainGrace, fallWindow, quotaPerSecond. The module is stricter than the
 // last ones ask: it answers by the deadline, stops sending at once, and keeps slow start over any window.
 //
@@ -46,7 +46,8 @@
 using Micros = std::int64_t;
 using RequestId = std::uint64_t;
 // A small number the caller gives to each upstream: 0, 1, 2 ... in the order this sidecar first heard of
-// them. It stays with the upstream when its process restarts or it leaves the list.
+// them. It stays with the upstream when its process restarts. One that has left the list, with no attempt,
+// probe or open request that refers to it, may pass to an upstream of another identity.
 using UpstreamId = std::uint32_t;
 
 // ---- Settings -------------------------------------------------------------------------------------------
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -162,6 +162,7 @@
   std::optional<std::uint32_t> cell;
   double size = 1;
   Micros launchedAt = 0;
+  std::uint64_t identity = 0;
   std::uint32_t inFlight = 0;  // this sidecar's own attempts that have no outcome yet
   double coldCredit = 0;
   double logSlowness = 0;  // smoothed, of answer times against the usual of their class
@@ -214,7 +215,10 @@
 // further attempt, which counts the oldest moment for attempts but not for requests.
 class RetryBudget {
  public:
-  void take(Micros now) { taken_.push_back(now); }
+  void take(const Settings& settings, Micros now) {
+    while (!taken_.empty() && taken_.front() <= now - settings.lookBack) taken_.pop_front();
+    taken_.push_back(now);
+  }
   void spend(Micros now) { further_.push_back(now); }
   bool left(const Settings& settings, Micros now) {
     while (!taken_.empty() && taken_.front() <= now - settings.lookBack) taken_.pop_front();
@@ -649,12 +653,13 @@
   void apply(const UpstreamEntry& entry) {
     if (entry.upstream >= upstreams_.size()) upstreams_.resize(entry.upstream + 1);
     Upstream& upstream = upstreams_[entry.upstream];
-    const bool restarted = entry.launchedAt != upstream.launchedAt;
+    const bool restarted = entry.launchedAt != upstream.launchedAt || entry.identity != upstream.identity;
     if (!upstream.known || restarted) {
       const std::uint32_t inFlight = upstream.inFlight;
-      upstream = Upstream{};  // a restarted process has no history
+      upstream = Upstream{};  // a restarted process, or another one, has no history
       upstream.inFlight = inFlight;
       upstream.launchedAt = entry.launchedAt;
+      upstream.identity = entry.identity;
       upstream.limit = startLimit_;
       upstream.coldCredit = uniform();  // sidecars that hear of a start together must not all send at once
     }
@@ -774,7 +779,7 @@
     request.deadline = now_ + std::clamp<Micros>(event.expiresIn, 0, kLongest);
     Request& stored = requests_.emplace(event.request, std::move(request)).first->second;
     ++open_;
-    budget_.take(now_);
+    budget_.take(settings_, now_);
     wakes_.push({stored.deadline, event.request, Wake::What::Deadline});
     // Held no longer than leaves time to be served: work for a client that has gone is wasted.
     stored.holdUntil =
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -130,13 +130,18 @@
   event.lag = duration_cast<microseconds>(end.lag).count();
   event.report = end.report;
   handle(event);
+  dropUse(end.upstream);
 }
 
 void Sidecar::onList(const InstanceList& list, MembershipUpdate::Kind kind) {
   MembershipUpdate update;
   update.kind = kind;
   const auto& site = config_.site;
+  if (list.whole) {
+    for (Known& known : known_) known.listed = false;  // whoever is missing has gone
+  }
   for (const Instance& instance : list.instances) {
+    if (instance.state == orchiddrum::UpstreamState::Gone && ids_.count(instance.id) == 0) continue;
     orchiddrum::UpstreamEntry entry;
     entry.upstream = intern(instance.id);
     // A zone or a kind that the settings don't name tells nothing, but the upstream can serve.
@@ -147,11 +152,23 @@
     entry.size = instance.weight;
     entry.launchedAt = launchedAt(instance.startedAtMs);
     entry.identity = orchiddrum::identity(instance.id);
-    if (instance.state != orchiddrum::UpstreamState::Gone)
-      upstreams_.setAddress(entry.upstream, instance.address);
+    Known& known = known_[entry.upstream];
+    known.address = instance.address;
+    known.startedAtMs = instance.startedAtMs;
+    known.listed = instance.state != orchiddrum::UpstreamState::Gone;
+    if (known.listed && !takesItsAddress(entry.upstream, update)) {
+      known.listed = false;
+      entry.state = orchiddrum::UpstreamState::Gone;
+    }
+    if (known.listed) upstreams_.setAddress(entry.upstream, instance.address);
     update.entries.push_back(entry);
   }
   handle(update);
+  for (UpstreamId upstream = 0; upstream < known_.size(); ++upstream) {
+    if (known_[upstream].listed || known_[upstream].id.empty()) continue;
+    upstreams_.remove(upstream);
+    freeUnused(upstream);
+  }
 }
 
 void Sidecar::onTimer() {
@@ -184,6 +201,7 @@
   attempt.upstream = send.upstream;
   request.attempts.push_back(attempt);
   ++request.out;
+  ++known_[send.upstream].uses;
   upstreams_.send(std::move(order));
 }
 
@@ -219,6 +237,7 @@
 }
 
 void Sidecar::carryOut(const orchiddrum::Probe& probe) {
+  ++known_[probe.upstream].uses;
   upstreams_.probe(probe.upstream);
 }
 
@@ -238,8 +257,7 @@
   std::fprintf(stderr, "%s\n", log.text.c_str());
 }
 
-// ---- Requests and upstreams
-// ---------------------------------------------------------------------------------
+// ---- Requests and upstreams -------------------------------------------------------------------------------
 
 void Sidecar::finish(RequestId id, Answer answer) {
   requests_.at(id).over = true;
@@ -249,11 +267,56 @@
 // Guards against forgetting a request whose attempts still report their end.
 void Sidecar::forget(RequestId id) {
   const auto found = requests_.find(id);
-  if (found != requests_.end() && found->second.over && found->second.out == 0) requests_.erase(found);
+  if (found == requests_.end() || !found->second.over || found->second.out > 0) return;
+  const auto attempts = std::move(found->second.attempts);
+  requests_.erase(found);
+  for (const Attempt& attempt : attempts) dropUse(attempt.upstream);
 }
 
 UpstreamId Sidecar::intern(const std::string& instanceId) {
-  return ids_.emplace(instanceId, static_cast<UpstreamId>(ids_.size())).first->second;
+  if (const auto found = ids_.find(instanceId); found != ids_.end()) return found->second;
+  if (spare_.empty()) {
+    spare_.push_back(static_cast<UpstreamId>(known_.size()));
+    known_.emplace_back();
+  }
+  const UpstreamId upstream = spare_.back();
+  spare_.pop_back();
+  known_[upstream] = Known{};
+  known_[upstream].id = instanceId;
+  ids_.emplace(instanceId, upstream);
+  return upstream;
+}
+
+// Guards against sending to a process under the id of the one that stood at its address before: the process
+// that started last has it, the other has gone whatever the list still says. False if that is this one.
+bool Sidecar::takesItsAddress(UpstreamId upstream, MembershipUpdate& update) {
+  const Known& own = known_[upstream];
+  for (UpstreamId id = 0; id < known_.size(); ++id) {
+    Known& other = known_[id];
+    if (id == upstream || !other.listed || other.address != own.address) continue;
+    if (other.startedAtMs > own.startedAtMs) return false;
+    other.listed = false;
+    orchiddrum::UpstreamEntry gone;
+    gone.upstream = id;
+    gone.state = orchiddrum::UpstreamState::Gone;
+    gone.launchedAt = launchedAt(other.startedAtMs);
+    gone.identity = orchiddrum::identity(other.id);
+    update.entries.push_back(gone);
+  }
+  return true;
+}
+
+void Sidecar::dropUse(UpstreamId upstream) {
+  --known_[upstream].uses;
+  freeUnused(upstream);
+}
+
+void Sidecar::freeUnused(UpstreamId upstream) {
+  Known& known = known_[upstream];
+  if (known.listed || known.uses > 0 || known.id.empty()) return;
+  ids_.erase(known.id);
+  known = Known{};
+  spare_.push_back(upstream);
 }
 
 Micros Sidecar::launchedAt(std::int64_t startedAtMs) const {
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -32,6 +32,7 @@
   void stop(std::function<void()> stopped) { server_.stop(std::move(stopped)); }
 
   std::uint16_t port() const { return server_.port(); }
+  std::size_t upstreamNumbers() const { return known_.size(); }  // in use and free; for tests
 
  private:
   struct Attempt {
@@ -47,6 +48,16 @@
     bool over = false;
   };
 
+  // What an upstream's number stands for. The number is free again when no list names the upstream and
+  // nothing of ours refers to it, so that ever new ids need no ever new numbers.
+  struct Known {
+    std::string id;  // empty: the number is free
+    Endpoint address;
+    std::int64_t startedAtMs = 0;
+    bool listed = false;
+    std::uint32_t uses = 0;  // attempts of requests not forgotten yet, and probes out
+  };
+
   void onTaken(ClientRequest client);
   void onOver(orchiddrum::RequestId id);
   void onWritten(AttemptId id);
@@ -71,6 +82,9 @@
   void finish(orchiddrum::RequestId id, Answer answer);
   void forget(orchiddrum::RequestId id);
   UpstreamId intern(const std::string& instanceId);
+  bool takesItsAddress(UpstreamId upstream, orchiddrum::MembershipUpdate& update);
+  void dropUse(UpstreamId upstream);
+  void freeUnused(UpstreamId upstream);
   Micros launchedAt(std::int64_t startedAtMs) const;
 
   boost::asio::io_context& io_;
@@ -82,6 +96,8 @@
   Clock::time_point armedFor_ = Clock::time_point::max();
   std::unordered_map<orchiddrum::RequestId, Request> requests_;
   std::unordered_map<std::string, UpstreamId> ids_;
+  std::vector<Known> known_;       // by number
+  std::vector<UpstreamId> spare_;  // free numbers
   Upstreams upstreams_;
   Discovery discovery_;
   Server server_;
--- a/src/sidecar/upstreams.cpp
+++ b/src/sidecar/upstreams.cpp
@@ -67,14 +67,14 @@
   void open(std::shared_ptr<Job> job) {
     job_ = std::move(job);
     job_->connection = weak_from_this();
-    const Endpoint& address = pool_.addresses_[upstream_];
+    address_ = *pool_.addresses_[upstream_];
     error_code error;
-    socket_.open(address.protocol(), error);
+    socket_.open(address_.protocol(), error);
     if (error) return fail(Outcome::ConnectFailed);
     socket_.set_option(tcp::no_delay(true), error);
     socket_.non_blocking(true, error);
     limit(std::min({job_->deadline, job_->writeBy, Clock::now() + pool_.connectTimeout_}));
-    socket_.async_connect(address, [self = shared_from_this()](error_code failed) {
+    socket_.async_connect(address_, [self = shared_from_this()](error_code failed) {
       if (!self->job_) return;
       if (failed) return self->fail(Outcome::ConnectFailed);
       self->write();
@@ -185,6 +185,7 @@
 
   // Goes back to the pool, and is watched for a close.
   void rest() {
+    if (pool_.addresses_[upstream_] != address_) return close();  // its upstream has moved or gone
     idleSince_ = Clock::now();
     pool_.idle_[upstream_].push_back(shared_from_this());
     limit(idleSince_ + pool_.idleTime_);
@@ -214,6 +215,7 @@
 
   Upstreams& pool_;
   const UpstreamId upstream_;
+  Endpoint address_;
   tcp::socket socket_;
   asio::steady_timer timer_;
   beast::flat_buffer buffer_;
@@ -250,6 +252,12 @@
   addresses_[upstream] = address;
 }
 
+void Upstreams::remove(UpstreamId upstream) {
+  if (upstream >= addresses_.size()) return;
+  addresses_[upstream].reset();
+  closeIdle(upstream);
+}
+
 void Upstreams::send(AttemptOrder order) {
   auto job = std::make_shared<Job>();
   job->upstream = order.upstream;
@@ -270,7 +278,7 @@
 void Upstreams::start(std::shared_ptr<Job> job) {
   job->startedAt = Clock::now();
   if (const auto open = reuse(job->upstream)) return open->carry(std::move(job));
-  if (!makeRoom()) return end(*job, Outcome::ConnectFailed);
+  if (!addresses_.at(job->upstream) || !makeRoom()) return end(*job, Outcome::ConnectFailed);
   const auto fresh = std::make_shared<Connection>(*this, job->upstream);
   connections_.emplace(fresh.get(), fresh);
   fresh->open(std::move(job));
--- a/src/sidecar/upstreams.h
+++ b/src/sidecar/upstreams.h
@@ -68,6 +68,8 @@
   ~Upstreams();
 
   void setAddress(UpstreamId upstream, const Endpoint& address);
+  // It has gone: its idle connections are closed, the others when their attempts end.
+  void remove(UpstreamId upstream);
   void send(AttemptOrder order);
   void cancel(AttemptId id);  // closes its connection at once; ignored when it has ended
   void probe(UpstreamId upstream);
@@ -90,7 +92,7 @@
   Callbacks callbacks_;
   std::size_t maxConnections_;
   Clock::duration connectTimeout_, idleTime_;
-  std::vector<Endpoint> addresses_;                             // by upstream
+  std::vector<std::optional<Endpoint>> addresses_;              // by upstream; none: it has gone
   std::vector<std::vector<std::shared_ptr<Connection>>> idle_;  // by upstream, the last used at the back
   std::map<Connection*, std::shared_ptr<Connection>> connections_;
   std::map<AttemptId, std::shared_ptr<Job>> attempts_;  // that have not ended
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -206,6 +206,38 @@
   EXPECT_EQ(discovery.requests[before].message.target(), "/v1/endpoints");
 }
 
+// Guards against what grows with every id that discovery ever names, and against old state under a new one:
+// upstream after upstream takes the address of the one before, which the list still names for a while. Idle
+// connections to one that has gone are closed, and all is sent under the newest.
+TEST_F(SidecarTest, ReplacesUpstreamsForGood) {
+  start(1);
+  const Client from = client();
+  for (int n = 0; n < 40; ++n) {
+    SCOPED_TRACE(n);
+    Request request;
+    request.trace = traceOf(n + 1);
+    from.send(request.text());
+    const auto turn = static_cast<std::size_t>(n);
+    ASSERT_TRUE(wait([&] { return arrived() == turn + 1; }));
+    upstreams[0]->requests[turn].reply(200, "");
+    ASSERT_TRUE(wait([&] { return from.answers() == turn + 1; }));
+    EXPECT_EQ(from.answer(turn).result_int(), 200u);
+    EXPECT_EQ(upstreams[0]->open(), 1);
+    json update = list(++generation, false);
+    json successor = update["instances"][0];
+    successor["instanceId"] = "t-" + std::to_string(n);
+    successor["startedAtMs"] = 1000 + n;
+    json previous = successor;
+    previous["instanceId"] = n == 0 ? "s-0" : "t-" + std::to_string(n - 1);
+    previous["startedAtMs"] = n == 0 ? 0 : 999 + n;
+    update["instances"] = n % 2 == 0 ? json{previous, successor} : json{successor, previous};
+    const auto before = watches();
+    discovery.requests.back().reply(200, update.dump());
+    ASSERT_TRUE(wait([&] { return upstreams[0]->open() == 0 && watches() > before; }));
+  }
+  EXPECT_LE(sidecar->upstreamNumbers(), 2u);
+}
+
 // Guards against work for clients that have left: their attempt's connection is closed, and nothing else
 // ends.
 TEST_F(SidecarTest, GivesUpForAClientThatLeaves) {
