Keep clients that bring nothing from the usual ones' place; refuse doubtful framing

Causes: - Sessions past the limit were admitted, and closeIdle took any quiet session in hash order, often the one just accepted. Now at the limit whoever has sent nothing for 100 ms gives way, then whoever has been idle for 2 s, the longest first; otherwise accepting waits and the kernel's queue holds the next client. - A silent connection had no limit and a request 5 s: a first request is now due 2.5 s after the accept, a further one 2.5 s after its first byte. - Boost.Beast 1.74 takes equal repeated lengths, and a length behind any coding but chunked (probed by the new cases): both are refused with 400 from the head and the connection closed, and so is a header given twice. - A client that repeats an error is read again after 100 ms; one that is hung up on is read for 64 KiB at most, not 200 ms at full speed. - Bytes sent ahead stopped the watch of a waiting request; they are read now, so that the client's close is seen.

The new tests fail without the mend.

--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -26,11 +26,24 @@
 constexpr std::uint32_t kMaxHeader = 16 * 1024;
 // The server answers by itself when the module's answer is this much late.
 constexpr milliseconds kBackstop{10};
-// A request that has begun to come must be whole, and an answer gone, within this time.
-constexpr milliseconds kMaxTransfer{5000};
+// A connection's first request must be whole within this time of its accept, and each further one of its
+// first byte: whoever sends nothing, or never comes to an end, is owed an error or a close within 3 s.
+constexpr milliseconds kMaxRequest{2500};
+// An answer must be gone within this time.
+constexpr milliseconds kMaxAnswer{5000};
+// At the limit of connections one that has sent nothing for so long gives way, then one that has been between
+// requests for so long. Nobody may be closed sooner; the next client waits in the kernel's queue.
+constexpr milliseconds kKeepSilent{100};
+constexpr milliseconds kKeepIdle{2000};
+// A client that has got an error is read again after this pause: one that sends the same at full speed must
+// not take the core from the others.
+constexpr milliseconds kErrorPause{100};
 // What a client still sends after its last answer is read and dropped for this long: closing at once would
-// reset the connection and could cost it the answer.
+// reset the connection and could cost it the answer. But no more than so much: it would cost us the core.
 constexpr milliseconds kLinger{200};
+constexpr std::size_t kMaxDiscard = 64UL * 1024;
+// What a client may send ahead while its request waits; beyond it a close is noticed late.
+constexpr std::size_t kMaxAhead = 16UL * 1024;
 // The longest time that a client may ask for, so that sums of times stay far from overflow.
 constexpr std::int64_t kMaxExpiresInMs = 3'600'000;
 // A second request under the id of an open one may be read when that one is over: ids are remembered longer
@@ -41,8 +54,8 @@
 // SIGKILL comes no sooner than the longest deadline (3 s) and 0.7 s after SIGTERM.
 constexpr milliseconds kStopWithin{3600};
 constexpr milliseconds kStopCheck{20};
-// With no descriptor left, accepting waits this long.
-constexpr milliseconds kAcceptPause{20};
+// With no room left, accepting waits this long.
+constexpr milliseconds kAcceptPause{10};
 // Part of the descriptors that clients' connections may hold.
 constexpr double kClientShare = 0.55;
 
@@ -54,6 +67,26 @@
   return number;
 }
 
+// Guards against requests hidden in others and lengths that can be read in two ways: Boost.Beast 1.74 takes
+// equal lengths more than once, and any coding but chunked in front of a length.
+bool plainFraming(const Message& message) {
+  const auto lengths = message.count(http::field::content_length);
+  const auto codings = message.count(http::field::transfer_encoding);
+  if (lengths + codings == 0) return true;
+  if (lengths + codings > 1) return false;
+  return lengths == 1 ? message[http::field::content_length].find(',') == beast::string_view::npos
+                      : beast::iequals(message[http::field::transfer_encoding], "chunked");
+}
+
+// Headers that are read here, and must not say one thing here and another further on.
+bool repeatsAHeader(const Message& message) {
+  for (const char* name : {"X-Trace-Id", "X-Qos", "X-Customer", "X-Expires-In-Ms", "Idempotency-Key",
+                           "X-Size-Hint", "X-Second-Try"}) {
+    if (message.count(name) > 1) return true;
+  }
+  return false;
+}
+
 std::optional<std::string_view> header(const Message& message, std::string_view name) {
   const auto found = message.find(beast::string_view(name.data(), name.size()));
   if (found == message.end()) return std::nullopt;
@@ -78,14 +111,17 @@
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
     socket_.non_blocking(true, ignored);
+    enlist(server_.silent_);
+    limit(since_ + kMaxRequest);
     watch();
   }
 
   bool idle() const { return state_ == State::Idle; }
+  Clock::time_point since() const { return since_; }
 
   // Whether nothing has come on an idle connection, so that closing it loses no request.
   bool quiet() {
-    if (state_ != State::Idle) return false;
+    if (state_ != State::Idle || buffer_.size() > 0) return false;
     return peek() == asio::error::would_block;
   }
 
@@ -102,13 +138,17 @@
     response.body() = std::move(answer.body);
     response.prepare_payload();
     response_ = std::move(response);
-    limit(Clock::now() + kMaxTransfer);
+    limit(Clock::now() + kMaxAnswer);
     http::async_write(socket_, response_, [self = shared_from_this()](error_code error, std::size_t) {
       if (self->state_ == State::Closed) return;
       if (error) return self->close();
       self->timer_.cancel();
-      if (!self->response_.keep_alive()) return self->hangUp();
-      self->next();
+      const bool last = !self->response_.keep_alive();
+      const bool wrong = http::to_status_class(self->response_.result()) == http::status_class::client_error;
+      self->response_ = {};
+      self->parser_.reset();
+      if (last) return self->hangUp();
+      self->next(wrong ? kErrorPause : milliseconds(0));
     });
   }
 
@@ -116,6 +156,7 @@
     if (state_ == State::Closed) return;
     const bool waiting = state_ == State::Waiting;
     state_ = State::Closed;
+    delist();
     timer_.cancel();
     error_code ignored;
     socket_.close(ignored);
@@ -128,6 +169,16 @@
   // Idle: nothing of a request has come. Waiting: a request is taken and its answer owed.
   enum class State { Idle, Reading, Waiting, Writing, HangingUp, Closed };
 
+  void enlist(std::list<Session*>& list) {
+    list_ = &list;
+    place_ = list.insert(list.end(), this);
+    since_ = Clock::now();
+  }
+
+  void delist() {
+    if (list_ != nullptr) std::exchange(list_, nullptr)->erase(place_);
+  }
+
   error_code peek() {
     char byte = 0;
     error_code error;
@@ -142,30 +193,58 @@
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code) {
       self->watching_ = false;
       if (self->state_ != State::Idle && self->state_ != State::Waiting) return;
-      const error_code error = self->peek();
+      const error_code error = self->state_ == State::Idle ? self->peek() : self->readAhead();
       if (error == asio::error::would_block) return self->watch();
       if (error) return self->close();
-      if (self->state_ == State::Idle) self->read();
+      if (self->state_ == State::Idle) return self->read();
+      if (self->buffer_.size() < kMaxAhead) self->watch();
     });
   }
 
-  void next() {
-    if (buffer_.size() > 0) return read();
+  // Guards against a client that sends more while its request waits, and then leaves unnoticed.
+  error_code readAhead() {
+    error_code error;
+    buffer_.commit(socket_.receive(buffer_.prepare(4096), 0, error));
+    return error;
+  }
+
+  void next(milliseconds pause) {
+    if (buffer_.size() == 0) buffer_.shrink_to_fit();
     state_ = State::Idle;
+    enlist(server_.idle_);
+    if (pause > milliseconds(0)) {
+      timer_.expires_after(pause);
+      timer_.async_wait([self = shared_from_this()](error_code cancelled) {
+        if (!cancelled && self->state_ == State::Idle) self->resume();
+      });
+      return;
+    }
+    resume();
+  }
+
+  void resume() {
+    if (buffer_.size() > 0) return read();
     watch();
   }
 
   void read() {
+    const bool first = list_ == &server_.silent_;
+    const auto from = first ? since_ : Clock::now();
+    delist();
     state_ = State::Reading;
     parser_.emplace();
     parser_->header_limit(kMaxHeader);
     parser_->body_limit(kMaxBody);
-    limit(Clock::now() + kMaxTransfer);
+    limit(from + kMaxRequest);
     // Guards against a body without end: Boost.Beast 1.74 forgets that a length is over the limit when the
     // body comes along with the header, so the header is read apart.
     const auto self = shared_from_this();
     http::async_read_header(socket_, buffer_, *parser_, [self](error_code error, std::size_t) {
       if (self->state_ != State::Reading) return;
+      if (!error && !plainFraming(self->parser_->get())) {
+        self->keepAlive_ = false;
+        return self->write(self->server_.plain(400, "framing that can be read in two ways"));
+      }
       if (error || self->parser_->is_done()) return self->onRead(error);
       http::async_read(self->socket_, self->buffer_, *self->parser_, [self](error_code failed, std::size_t) {
         if (self->state_ == State::Reading) self->onRead(failed);
@@ -217,16 +296,16 @@
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     limit(Clock::now() + kLinger);
-    discard();
+    discard(kMaxDiscard);
   }
 
-  void discard() {
+  void discard(std::size_t atMost) {
     buffer_.clear();
     socket_.async_read_some(buffer_.prepare(4096),
-                            [self = shared_from_this()](error_code error, std::size_t) {
+                            [self = shared_from_this(), atMost](error_code error, std::size_t size) {
                               if (self->state_ != State::HangingUp) return;
                               if (error) return self->close();
-                              self->discard();
+                              if (size < atMost) self->discard(atMost - size);
                             });
   }
 
@@ -238,6 +317,9 @@
   http::response<http::string_body> response_;
   RequestId request_ = 0;
   std::uint64_t trace_ = 0;
+  std::list<Session*>* list_ = nullptr;  // the server's that it stands in, since then, and where
+  std::list<Session*>::iterator place_;
+  Clock::time_point since_;
   State state_ = State::Idle;
   bool keepAlive_ = true;
   bool watching_ = false;
@@ -261,36 +343,45 @@
 Server::~Server() = default;
 
 void Server::accept() {
+  if (sessions_.size() >= maxSessions_ && !makeRoom()) return acceptLater();
   acceptor_.async_accept([this](error_code error, tcp::socket socket) {
     if (!acceptor_.is_open()) return;
     if (!error) {
       admit(std::move(socket));
     } else if (error != asio::error::connection_aborted) {
       // Guards against a loop that spins when descriptors have run out.
-      closeIdle(1);
-      timer_.expires_after(kAcceptPause);
-      timer_.async_wait([this](error_code cancelled) {
-        if (!cancelled) accept();
-      });
-      return;
+      makeRoom();
+      return acceptLater();
     }
     accept();
   });
 }
 
+void Server::acceptLater() {
+  timer_.expires_after(kAcceptPause);
+  timer_.async_wait([this](error_code cancelled) {
+    if (!cancelled) accept();
+  });
+}
+
 void Server::admit(tcp::socket socket) {
-  if (sessions_.size() >= maxSessions_) closeIdle(1);
   const auto session = std::make_shared<Session>(*this, std::move(socket));
   sessions_.insert(session);
   session->start();
 }
 
-void Server::closeIdle(std::size_t atMost) {
-  std::vector<std::shared_ptr<Session>> quiet;
-  for (const auto& session : sessions_) {
-    if (quiet.size() < atMost && session->quiet()) quiet.push_back(session);
+// Guards against clients that hold connections and don't use them.
+bool Server::makeRoom() {
+  const auto now = Clock::now();
+  for (const auto& [list, keep] : {std::pair(&silent_, kKeepSilent), std::pair(&idle_, kKeepIdle)}) {
+    for (Session* const session : *list) {
+      if (now - session->since() < keep) break;
+      if (!session->quiet()) continue;
+      session->close();
+      return true;
+    }
   }
-  for (const auto& session : quiet) session->close();
+  return false;
 }
 
 void Server::answer(RequestId id, Answer answer) {
@@ -323,7 +414,7 @@
 
 bool Server::full() const {
   const std::uint32_t most = config_.site.settings.maxOpen;
-  return sessions_.size() > maxSessions_ || (most > 0 && open_.size() >= most);
+  return most > 0 && open_.size() >= most;
 }
 
 std::variant<ClientRequest, Answer> Server::check(Message message) {
@@ -334,6 +425,7 @@
     if (!isGet) return plain(405, "GET only");
     return stopping_ ? plain(503, "stopping") : plain(200, "ready");
   }
+  if (repeatsAHeader(message)) return plain(400, "a header stands there twice");
   const orchiddrum::Site& site = config_.site;
   const auto parts = orchiddrum::split(path.substr(path.empty() ? 0 : 1), '/');
   const auto inPath = parts.empty() ? site.classes.end() : site.classes.find(parts.front());
@@ -389,7 +481,10 @@
   stopping_ = true;
   stopped_ = std::move(stopped);
   // A client whose request crosses this sends it once more on a new connection, which is still taken.
-  closeIdle(sessions_.size());
+  const auto idle = idle_;
+  for (Session* const session : idle) {
+    if (session->quiet()) session->close();
+  }
   const auto now = Clock::now();
   const auto wait = std::make_shared<asio::steady_timer>(io_, now + kAcceptAfterStop);
   wait->async_wait([this, wait, now](error_code) {
--- a/src/sidecar/server.h
+++ b/src/sidecar/server.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -74,7 +75,8 @@
 
   void accept();
   void admit(boost::asio::ip::tcp::socket socket);
-  void closeIdle(std::size_t atMost);
+  bool makeRoom();
+  void acceptLater();
   void closeAcceptor();
   // The request is over. False if it was before.
   bool endRequest(const Session& session);
@@ -95,6 +97,7 @@
   bool stopping_ = false;
   std::function<void()> stopped_;
   std::unordered_set<std::shared_ptr<Session>> sessions_;
+  std::list<Session*> silent_, idle_;  // that have sent nothing yet, and between requests; the longest first
   orchiddrum::RequestId lastId_ = 0;
   std::unordered_map<orchiddrum::RequestId, std::shared_ptr<Session>> open_;
   std::unordered_set<std::uint64_t> traces_;  // X-Trace-Ids that are open or were lately
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -264,7 +264,8 @@
   const Client inHand = client();
   const Client idle = client();
   inHand.send(Request().text());
-  ASSERT_TRUE(wait([&] { return arrived() == 1; }));
+  idle.send("GET /ready HTTP/1.1\r\nHost: s\r\n\r\n");
+  ASSERT_TRUE(wait([&] { return arrived() == 1 && idle.answers() == 1; }));
   bool stopped = false;
   sidecar->stop([&] { stopped = true; });
   ASSERT_TRUE(wait([&] { return idle.closed(); }));
@@ -303,6 +304,16 @@
   const std::vector<std::pair<std::string, unsigned>> cases = {
       {"no HTTP\r\n\r\n", 400},
       {"GET /ready HTTP/1.1\r\nContent-Length: many\r\n\r\n", 400},
+      {"POST /cambio/7 HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400},
+      {"POST /cambio/7 HTTP/1.1\r\nContent-Length: 18446744073709551617\r\n\r\n", 400},
+      {"POST /cambio/7 HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n", 413},
+      {changed([](Request& r) { r.headers = "Content-Length: 1\r\n"; }), 400},
+      {changed([](Request& r) { r.headers = "Content-Length: 2\r\n"; }), 400},
+      {changed([](Request& r) { r.headers = "Transfer-Encoding: chunked\r\n"; }), 400},
+      {changed([](Request& r) { r.headers = "Transfer-Encoding: identity\r\n"; }), 400},
+      {changed([](Request& r) { r.headers = "Transfer-Encoding: xchunked\r\n"; }), 400},
+      {changed([](Request& r) { r.headers = "X-Trace-Id: 00000000000000a2\r\n"; }), 400},
+      {changed([](Request& r) { r.headers = "Idempotency-Key: a\r\nIdempotency-Key: b\r\n"; }), 400},
       {noTrace, 400},
       {noQos, 400},
       {noExpiry, 400},
@@ -370,6 +381,81 @@
   EXPECT_EQ(again.answer(1).result_int(), 200u);
 }
 
+// Guards against clients that hold what they don't use: one that sends nothing and one that comes to no end
+// are closed in time, and a client between its requests stays.
+TEST_F(SidecarTest, ClosesConnectionsThatBringNoRequest) {
+  start(1);
+  const auto from = Clock::now();
+  const Client silent = client();
+  const Client endless = client();
+  const Client idle = client();
+  idle.send("GET /ready HTTP/1.1\r\nHost: s\r\n\r\n");
+  endless.send("POST /cambio/7 HTTP/1.1\r\nHost: s\r\n");
+  ASSERT_TRUE(wait([&] { return silent.closed() && endless.closed(); }));
+  EXPECT_LT(Clock::now() - from, std::chrono::seconds(3));
+  EXPECT_FALSE(idle.closed());
+}
+
+// Guards the usual clients' connections against those of others, at the limit: whoever has sent nothing gives
+// way to the next, and nobody does whose request is open or who has just been served.
+TEST_F(SidecarTest, SilentConnectionsGiveWayAtTheLimit) {
+  start(1, {{"limits", {{"sockets", 20}}}});  // eleven connections of clients
+  const Client open = client();
+  open.send(Request().text());
+  ASSERT_TRUE(wait([&] { return arrived() == 1; }));
+  const Client served = client();
+  served.send("GET /ready HTTP/1.1\r\nHost: s\r\n\r\n");
+  ASSERT_TRUE(wait([&] { return served.answers() == 1; }));
+  std::vector<Client> silent;
+  for (int n = 0; n < 30; ++n) silent.push_back(client());
+  const Client late = client();
+  late.send("GET /ready HTTP/1.1\r\nHost: s\r\n\r\n");
+  ASSERT_TRUE(wait([&] { return late.answers() == 1; }));
+  EXPECT_TRUE(silent[0].closed());
+  EXPECT_FALSE(served.closed());
+  upstreams[0]->requests[0].reply(200, "");
+  ASSERT_TRUE(wait([&] { return open.answers() == 1; }));
+  EXPECT_EQ(open.answer(0).result_int(), 200u);
+}
+
+// Guards the core against a client that repeats what is turned away: after an error others come first.
+TEST_F(SidecarTest, ReadsNoFurtherRightAfterAnError) {
+  start(1);
+  const Client wrong = client();
+  const std::string bad = "GET /nowhere HTTP/1.1\r\nHost: s\r\n\r\n";
+  std::string train;
+  for (int n = 0; n < 100; ++n) train += bad;
+  wrong.send(train);
+  ASSERT_TRUE(wait([&] { return wrong.answers() == 1; }));
+  EXPECT_EQ(wrong.answer(0).result_int(), 404u);
+  const Client usual = client();
+  for (std::size_t n = 0; n < 10; ++n) {
+    Request request;
+    request.trace = traceOf(static_cast<int>(n) + 1);
+    usual.send(request.text());
+    ASSERT_TRUE(wait([&] { return arrived() == n + 1; }));
+    upstreams[0]->requests[n].reply(200, "");
+    ASSERT_TRUE(wait([&] { return usual.answers() == n + 1; }));
+  }
+  EXPECT_LT(wrong.answers(), 10u);
+  ASSERT_TRUE(wait([&] { return wrong.answers() >= 3; }));
+}
+
+// Guards against work for a client that sent more while its request waited, and then left.
+TEST_F(SidecarTest, GivesUpForAClientThatLeavesAfterSendingAhead) {
+  start(1);
+  const Client leaves = client();
+  Request request;
+  request.expiresInMs = 300'000;
+  leaves.send(request.text());
+  ASSERT_TRUE(wait([&] { return arrived() == 1; }));
+  leaves.send("POST /cam");
+  io.restart();
+  io.poll();
+  leaves.close();
+  EXPECT_TRUE(wait([&] { return upstreams[0]->open() == 0; }));
+}
+
 // Guards against writing to a connection that the upstream has closed: an unsafe request would be lost.
 TEST_F(SidecarTest, DropsIdleConnectionsThatTheUpstreamCloses) {
   start(1);
