--- /dev/null
+++ b/src/configfile/table.cpp
@@ -0,0 +1,251 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+#include "configfile/table.h"
+
+#include <algorithm>
+#include <cmath>
+#include <fstream>
+#include <iterator>
+#include <numeric>
+#include <sstream>
+
+#include "configfile/units.h"
+
+namespace ivypost::configfile {
+namespace {
+
+// What stands in the file, short enough for a line.
+std::string shown(const toml::node& node) {
+  std::ostringstream text;
+  if (const auto* const value = node.as_string()) {
+    text << '"' << value->get() << '"';
+  } else if (node.is_table() || node.is_array()) {
+    text << (node.is_table() ? "a table" : "a list");
+  } else {
+    node.visit([&text](const auto& one) {
+      if constexpr (toml::is_value<decltype(one)>) text << one.get();
+    });
+  }
+  std::string line = text.str();
+  std::replace_if(
+      line.begin(), line.end(), [](unsigned char c) { return c < 0x20 || c == 0x7f; }, '?');
+  return line.size() > 60 ? line.substr(0, 57) + "..." : line;
+}
+
+std::string listed(const std::vector<std::string>& words) {
+  std::string text;
+  for (const auto& word : words) text += (text.empty() ? "" : ", ") + word;
+  return text;
+}
+
+// Levenshtein's distance: insertions, deletions and replacements.
+std::size_t distance(std::string_view a, std::string_view b) {
+  std::vector<std::size_t> row(b.size() + 1);
+  std::iota(row.begin(), row.end(), std::size_t{0});
+  for (std::size_t i = 0; i < a.size(); ++i) {
+    std::size_t diagonal = row[0];
+    row[0] = i + 1;
+    for (std::size_t j = 0; j < b.size(); ++j) {
+      const std::size_t replaced = diagonal + (a[i] == b[j] ? 0 : 1);
+      diagonal = row[j + 1];
+      row[j + 1] = std::min({row[j] + 1, row[j + 1] + 1, replaced});
+    }
+  }
+  return row.back();
+}
+
+template <class Number>
+std::string range(Number low, Number high) {
+  std::ostringstream text;
+  text << "allowed is " << low << " to " << high;
+  return text.str();
+}
+
+}  // namespace
+
+std::string Table::path(std::string_view key) const {
+  if (path_.empty() || key.empty()) return path_ + std::string(key);
+  return path_ + "." + std::string(key);
+}
+
+void Table::fail(std::string_view key, const std::string& why) const {
+  const toml::node* const node = key.empty() ? nullptr : table_->get(key);
+  const auto line = node != nullptr ? node->source().begin.line : table_->source().begin.line;
+  const std::string where = path(key);
+  throw Error(file_ + ":" + std::to_string(std::max<unsigned>(1, line)) + ": " +
+              (where.empty() ? "" : where + ": ") + why);
+}
+
+const toml::node* Table::find(std::string_view key) {
+  asked_.emplace_back(key);
+  return table_->get(key);
+}
+
+const toml::node& Table::require(std::string_view key) {
+  const toml::node* const node = find(key);
+  if (node == nullptr) fail("", "the key '" + std::string(key) + "' is missing");
+  return *node;
+}
+
+std::int64_t Table::integer(std::string_view key, std::int64_t low, std::int64_t high) {
+  const toml::node& node = require(key);
+  const auto* const value = node.as_integer();
+  if (value == nullptr) fail(key, shown(node) + " is no whole number; " + range(low, high));
+  if (value->get() < low || value->get() > high)
+    fail(key, shown(node) + " is out of range; " + range(low, high));
+  return value->get();
+}
+
+std::int64_t Table::integer(std::string_view key, std::int64_t low, std::int64_t high,
+                            std::int64_t fallback) {
+  return find(key) == nullptr ? fallback : integer(key, low, high);
+}
+
+double Table::number(std::string_view key, double low, double high) {
+  const toml::node& node = require(key);
+  const auto value = node.is_number() ? node.value<double>() : std::nullopt;
+  if (!value) fail(key, shown(node) + " is no number; " + range(low, high));
+  if (!std::isfinite(*value) || *value < low || *value > high)
+    fail(key, shown(node) + " is out of range; " + range(low, high));
+  return *value;
+}
+
+double Table::number(std::string_view key, double low, double high, double fallback) {
+  return find(key) == nullptr ? fallback : number(key, low, high);
+}
+
+bool Table::flag(std::string_view key, bool fallback) {
+  const toml::node* const node = find(key);
+  if (node == nullptr) return fallback;
+  if (const auto* const value = node->as_boolean()) return value->get();
+  fail(key, shown(*node) + " is neither true nor false");
+}
+
+std::string Table::text(std::string_view key) {
+  const toml::node& node = require(key);
+  if (const auto* const value = node.as_string()) return value->get();
+  fail(key, shown(node) + " is no text; it stands in quotes");
+}
+
+std::string Table::text(std::string_view key, std::string fallback) {
+  return find(key) == nullptr ? std::move(fallback) : text(key);
+}
+
+bool Table::isText(std::string_view key) const {
+  const toml::node* const node = table_->get(key);
+  return node != nullptr && node->is_string();
+}
+
+std::int64_t Table::duration(std::string_view key) {
+  const toml::node& node = require(key);
+  const auto* const value = node.as_string();
+  const auto micros = value != nullptr ? parseDuration(value->get()) : std::nullopt;
+  if (!micros)
+    fail(key, shown(node) + " is no time; allowed is a number with us, ms, s, min or h, as \"250ms\"");
+  return *micros;
+}
+
+std::int64_t Table::duration(std::string_view key, std::int64_t fallback) {
+  return find(key) == nullptr ? fallback : duration(key);
+}
+
+std::uint64_t Table::size(std::string_view key) {
+  const toml::node& node = require(key);
+  const auto* const value = node.as_string();
+  const auto bytes = value != nullptr ? parseSize(value->get()) : std::nullopt;
+  if (!bytes)
+    fail(key, shown(node) + " is no size; allowed is a number with B, KiB, MiB or GiB, as \"64KiB\"");
+  return *bytes;
+}
+
+std::size_t Table::choice(std::string_view key, const std::vector<std::string_view>& words) {
+  const toml::node& node = require(key);
+  const auto* const value = node.as_string();
+  const auto found = value == nullptr ? words.end() : std::find(words.begin(), words.end(), value->get());
+  if (found == words.end())
+    fail(key, shown(node) + " is not allowed; allowed is " + listed({words.begin(), words.end()}));
+  return static_cast<std::size_t>(found - words.begin());
+}
+
+std::size_t Table::choice(std::string_view key, const std::vector<std::string_view>& words,
+                          std::size_t fallback) {
+  return find(key) == nullptr ? fallback : choice(key, words);
+}
+
+std::vector<std::int64_t> Table::integers(std::string_view key, std::int64_t low, std::int64_t high,
+                                          std::size_t most) {
+  const toml::node* const node = find(key);
+  if (node == nullptr) return {};
+  if (!node->is_array()) return {integer(key, low, high)};
+  std::vector<std::int64_t> numbers;
+  for (const toml::node& item : *node->as_array()) {
+    const auto* const value = item.as_integer();
+    if (value == nullptr || value->get() < low || value->get() > high)
+      fail(key, shown(item) + " is not allowed in the list; " + range(low, high));
+    numbers.push_back(value->get());
+  }
+  if (numbers.empty() || numbers.size() > most)
+    fail(key, "the list has " + std::to_string(numbers.size()) + " numbers; " + range<std::size_t>(1, most));
+  return numbers;
+}
+
+std::optional<Table> Table::table(std::string_view key) {
+  const toml::node* const node = find(key);
+  if (node == nullptr) return std::nullopt;
+  if (!node->is_table()) fail(key, shown(*node) + " stands where a table belongs");
+  return Table(file_, path(key), *node->as_table());
+}
+
+std::vector<Table> Table::tables(std::string_view key, std::size_t most) {
+  const toml::node* const node = find(key);
+  std::vector<Table> tables;
+  if (node == nullptr) return tables;
+  const auto* const list = node->as_array();
+  if (list == nullptr) fail(key, shown(*node) + " stands where tables belong: [[" + path(key) + "]]");
+  if (list->size() > most)
+    fail(key, "there are " + std::to_string(list->size()) + " of them; " + range<std::size_t>(0, most));
+  for (std::size_t n = 0; n < list->size(); ++n) {
+    const auto* const one = list->get(n)->as_table();
+    if (one == nullptr) fail(key, shown(*list->get(n)) + " stands where a table belongs");
+    tables.emplace_back(file_, path(key) + "[" + std::to_string(n + 1) + "]", *one);
+  }
+  return tables;
+}
+
+void Table::finish() const {
+  for (const auto& [key, node] : *table_) {
+    const std::string_view name = key.str();
+    if (std::find(asked_.begin(), asked_.end(), name) != asked_.end()) continue;
+    std::vector<std::string> known = asked_;
+    std::sort(known.begin(), known.end());
+    known.erase(std::unique(known.begin(), known.end()), known.end());
+    const auto nearest = std::min_element(
+        known.begin(), known.end(),
+        [&](const std::string& a, const std::string& b) { return distance(a, name) < distance(b, name); });
+    std::string why = "there is no such key; allowed is " + listed(known);
+    if (nearest != known.end() && distance(*nearest, name) <= 2)
+      why = "there is no such key; did you mean '" + *nearest + "'?";
+    fail(name, why);
+  }
+}
+
+Document Document::parse(std::string_view text, const std::string& name) {
+  if (text.size() > kMaxFile) throw Error(name + ":1: the file has over 1 MiB");
+  try {
+    return {name, toml::parse(text, name)};
+  } catch (const toml::parse_error& error) {
+    std::string why(error.description());
+    std::replace(why.begin(), why.end(), '\n', ' ');
+    throw Error(name + ":" + std::to_string(std::max<unsigned>(1, error.source().begin.line)) + ": " + why);
+  }
+}
+
+Document Document::read(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::string text(kMaxFile + 1, '\0');
+  file.read(text.data(), static_cast<std::streamsize>(text.size()));
+  if (file.bad() || (!file && !file.eof())) throw Error(path + ": cannot be read");
+  text.resize(static_cast<std::size_t>(file.gcount()));
+  return parse(text, path);
+}
+
+}  // namespace ivypost::configfile
--- a/src/sidecar/discovery.cpp
+++ b/src/sidecar/discovery.cpp
@@ -27,7 +27,7 @@
 constexpr milliseconds kAskedPatience{5000};
 // A watch goes on if the next call comes within 200 ms of the last answer; so does one after a failure.
 constexpr milliseconds kAgain{100};
-constexpr std::size_t kMaxAnswer = 16UL * 1024 * 1024;
+constexpr std::size_t kMaxList = 16UL * 1024 * 1024;
 
 }  // namespace
 
@@ -75,7 +75,7 @@
 
   void read() {
     parser_.emplace();
-    parser_->body_limit(kMaxAnswer);
+    parser_->body_limit(kMaxList);
     http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code error, std::size_t) {
       if (self->owner_ == nullptr) return;
       if (error) return self->fail(error.message());
--- a/src/sidecar/framing.h
+++ b/src/sidecar/framing.h
@@ -1,14 +1,20 @@
 // Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
 //
-// Whether a message's end can be told in one way only.
+// Whether a message's end can be told in one way only, and how large it may be.
 #ifndef IVYPOST_FRAMING_H_
 #define IVYPOST_FRAMING_H_
 
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/fields.hpp>
+#include <cstddef>
+#include <cstdint>
 
 namespace ivypost {
 
+// The protocol's limit on bodies, and ours on what stands ahead of them; of requests and answers alike.
+constexpr std::size_t kMaxBody = 64UL * 1024;
+constexpr std::uint32_t kMaxHeader = 16 * 1024;
+
 // Guards against requests hidden in others and lengths that can be read in two ways: Boost.Beast 1.74 takes
 // equal lengths more than once, and any coding but chunked in front of a length.
 inline bool plainFraming(const boost::beast::http::fields& fields) {
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -24,15 +24,13 @@
 using orchiddrum::Semantics;
 using std::chrono::milliseconds;
 
-constexpr std::size_t kMaxBody = 64UL * 1024;
-constexpr std::uint32_t kMaxHeader = 16 * 1024;
 // The server answers by itself when the module's answer is this much late.
 constexpr milliseconds kBackstop{10};
 // A connection's first request must be whole within this time of its accept, and each further one of its
 // first byte: whoever sends nothing, or never comes to an end, is owed an error or a close within 3 s.
 constexpr milliseconds kMaxRequest{2500};
 // An answer must be gone within this time.
-constexpr milliseconds kMaxAnswer{5000};
+constexpr milliseconds kAnswerTime{5000};
 // At the limit of connections one that has sent nothing for so long gives way, then one that has been between
 // requests for so long. Nobody may be closed sooner; the next client waits in the kernel's queue.
 constexpr milliseconds kKeepSilent{100};
@@ -129,7 +127,7 @@
     response.body() = std::move(answer.body);
     response.prepare_payload();
     response_ = std::move(response);
-    limit(Clock::now() + kMaxAnswer);
+    limit(Clock::now() + kAnswerTime);
     http::async_write(socket_, response_, [self = shared_from_this()](error_code error, std::size_t) {
       if (self->state_ == State::Closed) return;
       if (error) return self->close();
--- a/src/sidecar/upstreams.cpp
+++ b/src/sidecar/upstreams.cpp
@@ -22,8 +22,6 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-constexpr std::size_t kMaxBody = 64UL * 1024;
-constexpr std::uint32_t kMaxHeader = 16 * 1024;
 // Part of the descriptors that connections to upstreams may hold.
 constexpr double kUpstreamShare = 0.35;
 // So many informational answers may come ahead of one.
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -1,23 +1,51 @@
 #!/usr/bin/env bash
 # Builds with warnings as errors, runs all tests plain and under sanitizers, checks format and sizes, lints,
-# and builds the embedding example against an installed copy.
+# and builds the embedding example against an installed copy. Installs what is missing from Debian's packages.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-sources=$(git ls-files 'tests/embed/*.cpp' 'include/*.h' 'src/*.h' 'src/*.cpp' 'tests/*.h' 'tests/*.cpp')
+scripts/packages.sh tests
+jobs=$(nproc)
+stage() { printf '== %4d s: %s\n' "$SECONDS" "$1"; }
+
+stage "format and sizes"
+sources=$(git ls-files 'include/*.h' 'src/*.h' 'src/*.cpp' 'tools/*.h' 'tools/*.cpp' 'tests/*.h' 'tests/*.cpp' 'bench/*.cpp')
 # shellcheck disable=SC2086
 clang-format --dry-run --Werror $sources
 # shellcheck disable=SC2086
 awk 'length($0) > 110 { print FILENAME ":" FNR ": over 110 characters"; bad = 1 } END { exit bad }' $sources
 lines=$(grep -c '[^[:space:]]' src/balancer.cpp)
 if [ "$lines" -gt 1200 ]; then echo "src/balancer.cpp has $lines lines, 1200 at most"; exit 1; fi
+
+# What was compiled before with the same flags and text is taken from the cache, also from another folder.
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1 CCACHE_SLOPPINESS=pch_defines,time_macros,include_file_mtime,include_file_ctime
+# Little optimisation and few debug symbols: the tests don't wait for the processor, the compiler does.
+common=(-DCMAKE_BUILD_TYPE=Debug -DORCHIDDRUM_TESTS=ON -DCMAKE_CXX_COMPILER_LAUNCHER=ccache)
+# The sources of a room are compiled as one: most of a compile is Boost's headers.
+common+=(-DCMAKE_UNITY_BUILD=ON)
 for sanitize in OFF ON; do
+  stage "build, sanitizers $sanitize"
   dir=build-tests-$sanitize
-  cmake -S . -B "$dir" -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCMAKE_EXPORT_COMPILE_COMMANDS=ON -DORCHIDDRUM_TESTS=ON -DORCHIDDRUM_SANITIZE=$sanitize >/dev/null
-  cmake --build "$dir" -j4
-  ctest --test-dir "$dir" --output-on-failure -j4
+  # Under sanitizers not even that much: it would double the compiler's time.
+  level=-O1
+  if [ $sanitize = ON ]; then level=-O0; fi
+  cmake -S . -B "$dir" "${common[@]}" "-DCMAKE_CXX_FLAGS_DEBUG=$level -g1" -DORCHIDDRUM_SANITIZE=$sanitize >/dev/null
+  cmake --build "$dir" -j"$jobs" -- --no-print-directory -s
+  stage "tests, sanitizers $sanitize"
+  ctest --test-dir "$dir" --output-on-failure -j"$jobs" --progress
 done
-git ls-files -z 'src/*.cpp' | xargs -0 -n1 -P4 clang-tidy -p build-tests-OFF --quiet --warnings-as-errors='*'
+
+# All of src and tools, each room's sources as one. The linter reads the headers as they are: clang can't use g++'s
+# precompiled ones.
+stage "lint"
+if git grep -nE '#include ".*\.cpp"' -- src tools tests include; then echo "a source is included"; exit 1; fi
+cmake -S . -B build-lint "${common[@]}" -DIVYPOST_PCH=OFF -DCMAKE_EXPORT_COMPILE_COMMANDS=ON >/dev/null
+sed -n 's/^  "file": "\(.*\)"$/\1/p' build-lint/compile_commands.json | grep -v -e '/tests/' -e '/cmake/' |
+  xargs -n1 -P"$jobs" clang-tidy -p build-lint --quiet --checks=-bugprone-suspicious-include --warnings-as-errors='*' >build-lint/lint.log 2>&1 ||
+  { grep -v 'warnings generated' build-lint/lint.log; exit 1; }
+
+stage "embedding"
 cmake --install build-tests-OFF --prefix build-tests-OFF/prefix >/dev/null
 cmake -S tests/embed -B build-tests-OFF/embed -DCMAKE_PREFIX_PATH="$PWD/build-tests-OFF/prefix" >/dev/null
 cmake --build build-tests-OFF/embed
 build-tests-OFF/embed/embed
+stage "all passed"
