Refuse what RFC 9110 and 9112 make a server refuse, before a node can read it

Need: some forms that a server must answer with 400 reached a node: a missing, doubled or malformed Host, targets with characters that have to be encoded or a fragment, control characters in values, a transfer coding in HTTP/1.0, trailers that the parser had made headers, and Connection options that name the request's own headers. Others got the wrong answer: an absolute target 404, an unknown major version 400, Expect no 100.

request_form.* looks at each head before its body is read; the sidecar sends on in origin-form without what Connection names, answers Expect: 100-continue, passes over one empty line, and keeps trailers out of the headers. A body over 16 KiB that an upstream doesn't take within the connect time-out is known never to have come whole, so that an unsafe request goes elsewhere instead of waiting for its deadline. The program says on which port it listens.

--- a/src/sidecar/framing.h
+++ b/src/sidecar/framing.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http/fields.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <string_view>
 
 namespace ivypost {
 
@@ -15,6 +16,10 @@
 constexpr std::size_t kMaxBody = 64UL * 1024;
 constexpr std::uint32_t kMaxHeader = 16 * 1024;
 
+inline std::string_view view(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
 // Guards against requests hidden in others and lengths that can be read in two ways: Boost.Beast 1.74 takes
 // equal lengths more than once, and any coding but chunked in front of a length.
 inline bool plainFraming(const boost::beast::http::fields& fields) {
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -42,6 +42,7 @@
       });
     };
     listen();
+    std::fprintf(stderr, "ready on port %u\n", sidecar.port());
     io.run();
     return 0;
   } catch (const std::exception& error) {
--- /dev/null
+++ b/src/sidecar/request_form.cpp
@@ -0,0 +1,192 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+#include "request_form.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/http/rfc7230.hpp>
+#include <string>
+#include <vector>
+
+#include "framing.h"
+
+namespace ivypost {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+// What this protocol and HTTP itself stand on: naming one of these in Connection would have it dropped on the
+// way.
+constexpr std::array<const char*, 10> kEndToEnd = {
+    "Host",         "Content-Length",  "X-Trace-Id",   "X-Qos",      "X-Customer", "Idempotency-Key",
+    "Content-Type", "X-Expires-In-Ms", "X-Second-Try", "X-Size-Hint"};
+
+// That speak of the client's connection, not of its request. Expect is answered here.
+constexpr std::array<http::field, 8> kHopByHop = {
+    http::field::connection, http::field::keep_alive, http::field::proxy_connection,
+    http::field::te,         http::field::trailer,    http::field::transfer_encoding,
+    http::field::upgrade,    http::field::expect};
+
+bool alphanumeric(char c) {
+  return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+}
+
+bool hexadecimal(char c) {
+  return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
+}
+
+// RFC 3986, 2: unreserved, sub-delims, whole percent-encodings, and what `more` allows.
+bool inUri(std::string_view text, std::string_view more) {
+  constexpr std::string_view kOthers = "-._~!$&'()*+,;=";
+  for (std::size_t n = 0; n < text.size(); ++n) {
+    const char c = text[n];
+    if (c == '%') {
+      if (n + 2 >= text.size() || !hexadecimal(text[n + 1]) || !hexadecimal(text[n + 2])) return false;
+      n += 2;
+    } else if (!alphanumeric(c) && kOthers.find(c) == std::string_view::npos &&
+               more.find(c) == std::string_view::npos) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// RFC 9110, 7.2, and RFC 3986, 3.2: uri-host [ ":" port ], without user information. May be empty.
+bool isAuthority(std::string_view text) {
+  std::string_view port;
+  std::string_view host = text;
+  if (!text.empty() && text.front() == '[') {
+    const std::size_t end = text.find(']');
+    if (end == std::string_view::npos) return false;
+    host = text.substr(1, end - 1);
+    port = text.substr(end + 1);
+    if (host.empty() || !inUri(host, ":")) return false;
+  } else {
+    const std::size_t colon = text.find(':');
+    host = text.substr(0, colon);
+    if (colon != std::string_view::npos) port = text.substr(colon);
+    if (!inUri(host, "")) return false;
+  }
+  if (port.empty()) return true;
+  return port.front() == ':' && port.size() <= 6 &&
+         std::all_of(port.begin() + 1, port.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
+struct Absolute {
+  std::string_view authority, rest;  // the rest begins with '/' or '?', or is empty
+};
+
+std::optional<Absolute> absoluteForm(std::string_view target) {
+  constexpr std::string_view kScheme = "http://";
+  if (target.size() < kScheme.size() ||
+      !beast::iequals({target.data(), kScheme.size()}, {kScheme.data(), kScheme.size()}))
+    return std::nullopt;
+  target.remove_prefix(kScheme.size());
+  const std::size_t end = std::min(target.find_first_of("/?"), target.size());
+  return Absolute{target.substr(0, end), target.substr(end)};
+}
+
+std::optional<Flaw> flawOfTarget(const RequestHead& head) {
+  std::string_view target = view(head.target());
+  if (head.method() == http::verb::connect) return Flaw{501, "CONNECT is not served"};
+  if (target == "*")
+    return head.method() == http::verb::options ? Flaw{501, "OPTIONS is not served"}
+                                                : Flaw{400, "the target * is for OPTIONS only"};
+  if (const auto absolute = absoluteForm(target)) {
+    if (absolute->authority.empty() || !isAuthority(absolute->authority))
+      return Flaw{400, "the target names no valid host"};
+    target = absolute->rest;
+  } else if (target.empty() || target.front() != '/') {
+    return Flaw{400, "the target is neither a path nor an http address"};
+  }
+  if (!inUri(target, ":@/?")) return Flaw{400, "the target has a character that has to be encoded"};
+  return std::nullopt;
+}
+
+std::optional<Flaw> flawOfFraming(const RequestHead& head) {
+  const auto codings = head.count(http::field::transfer_encoding);
+  if (codings > 0) {
+    if (head.version() < 11) return Flaw{400, "a transfer coding in HTTP/1.0"};
+    if (codings == 1 && head.count(http::field::content_length) == 0) {
+      // Another coding that ends with chunked has an end, and is merely not understood (RFC 9112, 6.1).
+      const std::string_view coding = view(head[http::field::transfer_encoding]);
+      const std::size_t comma = coding.rfind(',');
+      if (comma != std::string_view::npos && coding.find("chunked") > comma) {
+        std::string_view last = coding.substr(comma + 1);
+        last.remove_prefix(std::min(last.find_first_not_of(" \t"), last.size()));
+        if (beast::iequals({last.data(), last.size()}, "chunked"))
+          return Flaw{501, "a transfer coding but chunked"};
+      }
+    }
+  }
+  if (!plainFraming(head)) return Flaw{400, "framing that can be read in two ways"};
+  if (head.count(http::field::content_length) > 0) {
+    const std::string_view length = view(head[http::field::content_length]);
+    if (length.empty() ||
+        !std::all_of(length.begin(), length.end(), [](char c) { return c >= '0' && c <= '9'; }))
+      return Flaw{400, "Content-Length is no number"};
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::optional<Flaw> flawOf(const RequestHead& head) {
+  if (const auto flaw = flawOfFraming(head)) return flaw;
+  const auto hosts = head.count(http::field::host);
+  if (hosts > 1 || (hosts == 0 && head.version() >= 11)) return Flaw{400, "Host has to stand there once"};
+  if (hosts == 1 && !isAuthority(view(head[http::field::host]))) return Flaw{400, "Host names no valid host"};
+  if (const auto flaw = flawOfTarget(head)) return flaw;
+  for (const auto& field : head) {
+    // RFC 9110, 5.5. The parser has unfolded lines already (RFC 9112, 5.2).
+    const std::string_view value = view(field.value());
+    if (std::any_of(value.begin(), value.end(),
+                    [](unsigned char c) { return (c < 0x20 && c != '\t') || c == 0x7f; }))
+      return Flaw{400, "a control character in a header"};
+  }
+  if (head.count(http::field::expect) > 0 && !expectsContinue(head) && head.version() >= 11)
+    return Flaw{417, "Expect names what is not kept"};
+  for (const auto& option : http::token_list(head[http::field::connection])) {
+    for (const char* const name : kEndToEnd) {
+      if (beast::iequals(option, name))
+        return Flaw{400, "Connection names a header that belongs to the request"};
+    }
+  }
+  return std::nullopt;
+}
+
+void toOriginForm(RequestHead& head) {
+  const std::string target(head.target());
+  const auto absolute = absoluteForm(target);
+  if (!absolute) return;
+  head.set(http::field::host, beast::string_view(absolute->authority.data(), absolute->authority.size()));
+  const bool bare = absolute->rest.empty() || absolute->rest.front() == '?';
+  head.target((bare ? "/" : "") + std::string(absolute->rest));
+}
+
+bool expectsContinue(const RequestHead& head) {
+  return head.version() >= 11 && head.count(http::field::expect) == 1 &&
+         beast::iequals(head[http::field::expect], "100-continue");
+}
+
+void dropHopByHop(RequestHead& head) {
+  if (head.count(http::field::connection) > 0) {
+    std::vector<std::string> named;
+    for (const auto& option : http::token_list(head[http::field::connection])) named.emplace_back(option);
+    for (const std::string& name : named) head.erase(name);
+  }
+  for (const http::field field : kHopByHop) head.erase(field);
+}
+
+unsigned statusOfBadStart(std::string_view text) {
+  const std::string_view line = text.substr(0, text.find("\r\n"));
+  const std::size_t space = line.rfind(' ');
+  if (space == std::string_view::npos || line.find(' ') == space) return 400;
+  const std::string_view version = line.substr(space + 1);
+  const auto digit = [&](std::size_t n) { return version[n] >= '0' && version[n] <= '9'; };
+  const bool formed =
+      version.size() == 8 && version.substr(0, 5) == "HTTP/" && digit(5) && version[6] == '.' && digit(7);
+  return formed && version[5] != '1' ? 505 : 400;
+}
+
+}  // namespace ivypost
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <charconv>
 #include <cstdio>
@@ -11,6 +12,7 @@
 #include <vector>
 
 #include "framing.h"
+#include "request_form.h"
 
 namespace ivypost {
 namespace {
@@ -221,26 +223,62 @@
     const auto from = first ? since_ : Clock::now();
     delist();
     state_ = State::Reading;
+    limit(from + kMaxRequest);
+    readHead(true);
+  }
+
+  // Guards against a body without end: Boost.Beast 1.74 forgets that a length is over the limit when the body
+  // comes along with the header, so the header is read apart.
+  void readHead(bool mayBeEmptyLine) {
     parser_.emplace();
     parser_->header_limit(kMaxHeader);
     parser_->body_limit(kMaxBody);
-    limit(from + kMaxRequest);
-    // Guards against a body without end: Boost.Beast 1.74 forgets that a length is over the limit when the
-    // body comes along with the header, so the header is read apart.
     const auto self = shared_from_this();
-    http::async_read_header(socket_, buffer_, *parser_, [self](error_code error, std::size_t) {
+    http::async_read_header(
+        socket_, buffer_, *parser_, [self, mayBeEmptyLine](error_code error, std::size_t) {
+          if (self->state_ != State::Reading) return;
+          // RFC 9112, 2.2: an empty line ahead of a request is passed over.
+          if (error == http::error::bad_method && mayBeEmptyLine && self->received().substr(0, 2) == "\r\n") {
+            self->buffer_.consume(2);
+            return self->readHead(false);
+          }
+          if (error) return self->onRead(error);
+          if (const auto flaw = flawOf(self->parser_->get())) {
+            self->keepAlive_ = false;
+            return self->write(self->server_.plain(flaw->status, flaw->why));
+          }
+          if (self->parser_->is_done()) return self->onRead(error);
+          if (expectsContinue(self->parser_->get()) && self->buffer_.size() == 0) return self->goOn();
+          self->readBody();
+        });
+  }
+
+  // The client waits for this before it sends the body.
+  void goOn() {
+    static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    asio::async_write(socket_, asio::buffer(kContinue.data(), kContinue.size()),
+                      [self = shared_from_this()](error_code error, std::size_t) {
+                        if (self->state_ != State::Reading) return;
+                        if (error) return self->close();
+                        self->readBody();
+                      });
+  }
+
+  void readBody() {
+    // A trailer's fields are no headers (RFC 9110, 6.5.1), but the parser adds them there.
+    if (parser_->chunked()) head_ = parser_->get().base();
+    http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code error, std::size_t) {
       if (self->state_ != State::Reading) return;
-      if (!error && !plainFraming(self->parser_->get())) {
-        self->keepAlive_ = false;
-        return self->write(self->server_.plain(400, "framing that can be read in two ways"));
-      }
-      if (error || self->parser_->is_done()) return self->onRead(error);
-      http::async_read(self->socket_, self->buffer_, *self->parser_, [self](error_code failed, std::size_t) {
-        if (self->state_ == State::Reading) self->onRead(failed);
-      });
+      if (self->head_) self->parser_->get().base() = std::move(*std::exchange(self->head_, std::nullopt));
+      self->onRead(error);
     });
   }
 
+  std::string_view received() const {
+    const auto data = buffer_.data();
+    return {static_cast<const char*>(data.data()), data.size()};
+  }
+
   void onRead(error_code error) {
     timer_.cancel();
     if (error) {
@@ -248,6 +286,8 @@
       if (error == http::error::body_limit) return write(server_.plain(413, "body over 64 KiB"));
       if (error == http::error::header_limit) return write(server_.plain(431, "header over 16 KiB"));
       if (error == http::error::end_of_stream || error == http::error::partial_message) return close();
+      if (error == http::error::bad_version)
+        return write(server_.plain(statusOfBadStart(received()), "malformed HTTP: " + error.message()));
       if (error.category() == make_error_code(http::error::bad_method).category())
         return write(server_.plain(400, "malformed HTTP: " + error.message()));
       return close();
@@ -303,6 +343,7 @@
   asio::steady_timer timer_;
   beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<RequestHead> head_;  // as it came, while a chunked body is read
   http::response<http::string_body> response_;
   RequestId request_ = 0;
   std::uint64_t trace_ = 0;
@@ -407,6 +448,7 @@
 }
 
 std::variant<ClientRequest, Answer> Server::check(Message message) {
+  toOriginForm(message);
   const std::string_view target(message.target().data(), message.target().size());
   const std::string_view path = target.substr(0, target.find('?'));
   const bool isGet = message.method() == http::verb::get;
--- a/src/sidecar/upstreams.cpp
+++ b/src/sidecar/upstreams.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include "framing.h"
+#include "request_form.h"
 
 namespace ivypost {
 namespace {
@@ -24,6 +25,9 @@
 
 // Part of the descriptors that connections to upstreams may hold.
 constexpr double kUpstreamShare = 0.35;
+// What the kernel may hold of a request that nobody reads, as SO_SNDBUF takes it (Linux doubles it). A small
+// buffer lets a large body's write stand still, so that the request is known never to have come whole.
+constexpr int kSendBuffer = 16 * 1024;
 // So many informational answers may come ahead of one.
 constexpr int kMaxInterim = 8;
 // Figures of a load report beyond this can't be meant.
@@ -36,16 +40,6 @@
 // A probe is given up after this long at the most: by then it tells nothing that is still true.
 constexpr milliseconds kProbeTimeout{300};
 
-std::string_view view(beast::string_view text) {
-  return {text.data(), text.size()};
-}
-
-// Headers that speak of the client's connection, not of its request.
-constexpr http::field kHopByHop[] = {http::field::connection,       http::field::keep_alive,
-                                     http::field::proxy_connection, http::field::te,
-                                     http::field::trailer,          http::field::transfer_encoding,
-                                     http::field::upgrade,          http::field::expect};
-
 }  // namespace
 
 // An attempt or a probe, until it has ended.
@@ -76,6 +70,7 @@
     socket_.open(address_.protocol(), error);
     if (error) return fail(Outcome::ConnectFailed);
     socket_.set_option(tcp::no_delay(true), error);
+    socket_.set_option(asio::socket_base::send_buffer_size(kSendBuffer), error);
     socket_.non_blocking(true, error);
     limit(std::min({job_->deadline, job_->writeBy, Clock::now() + pool_.connectTimeout_}));
     socket_.async_connect(address_, [self = shared_from_this()](error_code failed) {
@@ -124,7 +119,7 @@
     if (now >= job.deadline || now >= job.writeBy) return fail(Outcome::ConnectFailed);
     if (job.attempt) {
       request_ = *job.attempt->message;
-      for (const http::field field : kHopByHop) request_.erase(field);
+      dropHopByHop(request_);
       const auto left = duration_cast<milliseconds>(job.deadline - now).count();
       request_.set("X-Expires-In-Ms", std::to_string(std::max<std::int64_t>(1, left)));
       request_.version(11);
@@ -133,11 +128,14 @@
       request_ = Message(http::verb::get, "/status/load", 11);
       request_.set(http::field::host, "upstream");
     }
-    limit(job.deadline);
-    http::async_write(socket_, request_, [self = shared_from_this()](error_code error, std::size_t) {
+    // A body that the kernel can't take at once waits for an upstream that reads, which is part of coming up.
+    const bool large = request_.body().size() > kSendBuffer;
+    limit(large ? std::min(job.deadline, now + pool_.connectTimeout_) : job.deadline);
+    http::async_write(socket_, request_, [self = shared_from_this(), large](error_code error, std::size_t) {
       if (!self->job_) return;
       // An error here means that the last byte has not gone out.
       if (error) return self->fail(Outcome::ConnectFailed);
+      if (large) self->limit(self->job_->deadline);
       self->job_->written = true;
       if (self->job_->attempt) self->pool_.callbacks_.written(self->job_->attempt->id);
       self->read();
