--- a/src/fault/proxy.h
+++ b/src/fault/proxy.h
@@ -39,8 +39,8 @@
     Address listen, to;
     Plan plan;
     std::uint64_t seed = 0;
-    // Of sockets that are accepted, in bytes as SO_RCVBUF takes them; 0: the system's. A small one makes a sender
-    // notice sooner that nothing is read.
+    // Of sockets that are accepted, in bytes as SO_RCVBUF takes them; 0: the system's. A small one makes a
+    // sender notice sooner that nothing is read.
     int receiveBuffer = 0;
     // A fault was done on this connection; may be empty. Must not destroy the proxy.
     std::function<void(std::uint64_t connection, const Done&)> log;
