Add ivyfleet: a scenario with real sidecars between stand-in nodes and clients

Scenarios are TOML: nodes, classes, schools, load, and events (hang, drain, die, start, fault plans, discovery down or silent, load, kill, terminate, pause). One line a second, a table at the end, exit status 1 on a broken rule; Ctrl-C ends all processes, and they die with their parent.

--- /dev/null
+++ b/src/fleet/fleet.h
@@ -0,0 +1,114 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// Plays a scenario: stand-in nodes, each behind a fault proxy for each sidecar, a stand-in discovery, real
+// ivypost processes, and a client beside each of them; the ledger judges. Everything but the sidecars runs on
+// one loop.
+#ifndef IVYPOST_FLEET_FLEET_H_
+#define IVYPOST_FLEET_FLEET_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fault/proxy.h"
+#include "fleet/process.h"
+#include "fleet/scenario.h"
+#include "standins/client.h"
+#include "standins/discovery.h"
+#include "standins/ledger.h"
+#include "standins/node.h"
+
+namespace ivypost::fleet {
+
+struct SidecarResult {
+  double cpuSeconds = 0;  // of its last process
+  std::size_t peakBytes = 0;
+  std::uint32_t starts = 0;
+  bool crashed = false;  // a process ended unasked, or not with 0 at SIGTERM
+};
+
+struct Result {
+  standins::Tally tally;
+  std::vector<standins::Breach> breaches;
+  std::vector<SidecarResult> sidecars;
+  std::uint64_t offered = 0, inAim = 0, clientRetries = 0, clientConnections = 0;
+  std::uint64_t nodeConnections = 0, nodeArrivals = 0, probes = 0;
+  std::uint32_t fallen = 0;  // nodes that too much work pushed over
+  Micros played = 0;
+  bool interrupted = false;
+
+  // No rule broken and nothing crashed.
+  bool good() const;
+};
+
+// One second of it, for whoever watches.
+struct Second {
+  std::uint32_t number = 0;                                                     // from 1
+  std::uint64_t sent = 0, served = 0, refused = 0, failed = 0, unanswered = 0;  // in this second
+  Micros median = 0, p99 = 0;                                                   // of what was served in it
+  std::uint64_t breaches = 0;                                                   // so far
+};
+
+class Fleet {
+ public:
+  struct Options {
+    std::string program;                        // ivypost
+    std::string workDir;                        // where the sidecars' configurations are written; exists
+    std::function<void(const Second&)> second;  // may be empty
+    std::function<void(const std::string&)> happened;    // one line for each event; may be empty
+    std::function<void(const std::string&)> sidecarLog;  // one line of a sidecar's log; may be empty
+  };
+
+  Fleet(Scenario scenario, Options options);
+  ~Fleet();
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
+
+  // Plays it whole, or until SIGINT or SIGTERM, and ends every process. Throws std::runtime_error with one
+  // line when the fleet can't start.
+  Result play();
+
+ private:
+  struct Node;
+  struct Sidecar;
+
+  void build();
+  void launch(Sidecar& sidecar);
+  void awaitReady();
+  void schedule();
+  void happen(const Event& event);
+  void over(const Event& event);
+  void put(Node& node, standins::Discovery::State state, Micros delay);
+  void loadBy(double factor);
+  void tick();
+  void reap();
+  void finish();
+  bool runUntil(const std::function<bool()>& condition, Micros atMost);
+  void after(Micros wait, std::function<void()> what);
+  void say(const std::string& line) const;
+
+  const Scenario scenario_;
+  const Options options_;
+  boost::asio::io_context io_{1};
+  boost::asio::signal_set signals_;
+  standins::Ledger ledger_;
+  std::vector<std::unique_ptr<standins::KeyMemory>> keys_;  // by group
+  standins::Discovery discovery_;
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::vector<std::unique_ptr<Sidecar>> sidecars_;
+  boost::asio::steady_timer ticks_;
+  Micros startedAt_ = 0;
+  std::uint32_t seconds_ = 0;
+  standins::Tally lastTally_;
+  bool interrupted_ = false, playing_ = false;
+};
+
+}  // namespace ivypost::fleet
+
+#endif  // IVYPOST_FLEET_FLEET_H_
--- /dev/null
+++ b/src/fleet/scenario.cpp
@@ -0,0 +1,223 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+#include "fleet/scenario.h"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+
+#include "configfile/table.h"
+#include "fault/plan_reader.h"
+
+namespace ivypost::fleet {
+namespace {
+
+using configfile::Table;
+using nlohmann::json;
+using standins::Effect;
+
+constexpr Micros kMaxLength = 24LL * 3600 * 1'000'000;
+constexpr std::size_t kMaxRows = 64, kMaxEvents = 1024;
+
+constexpr std::array<const char*, 11> kEvents = {
+    "hang", "drain", "die",       "start", "fault", "discovery-down", "discovery-silent",
+    "load", "kill",  "terminate", "pause"};
+
+Micros within(Table& table, std::string_view key, Micros low, Micros high, Micros fallback) {
+  const Micros value = table.duration(key, fallback);
+  if (value < low || value > high) table.fail(key, "out of range");
+  return value;
+}
+
+NodeKind readNode(Table& table) {
+  NodeKind node;
+  node.count = static_cast<std::uint32_t>(table.integer("count", 1, kMaxNodes, 1));
+  node.name = table.text("kind", node.name);
+  auto& model = node.model;
+  model.cores = static_cast<std::uint32_t>(table.integer("cores", 1, 1024, model.cores));
+  model.speed = table.number("speed", 0.001, 1000, model.speed);
+  model.waitingRoom = static_cast<std::size_t>(table.integer("waiting_room", 0, 1'000'000, 32));
+  model.coldShare = table.number("cold_share", 0.01, 1, model.coldShare);
+  model.warm = within(table, "warm", 0, kMaxLength, 0);
+  model.errorShare = table.number("error_share", 0, 1, 0);
+  table.finish();
+  return node;
+}
+
+RequestClass readClass(Table& table) {
+  RequestClass cls;
+  cls.name = table.text("name");
+  const std::array<Effect, 3> effects = {Effect::Safe, Effect::Keyed, Effect::Unsafe};
+  cls.effect = effects.at(table.choice("effect", {"safe", "keyed", "unsafe"}));
+  cls.share = table.number("share", 0, 1e6, 1);
+  cls.worth = table.number("worth", 0, 1e6, 1);
+  cls.work = within(table, "work", 0, 60'000'000, cls.work);
+  cls.aim = within(table, "aim", 1000, 600'000'000, cls.aim);
+  cls.deadline = within(table, "deadline", 1000, 600'000'000, cls.deadline);
+  if (cls.name.empty() || cls.name.find_first_of("/ ,=?#") != std::string::npos)
+    table.fail("name", "a class's name is one word and part of paths");
+  table.finish();
+  return cls;
+}
+
+Event readEvent(Table& table, const Scenario& scenario) {
+  Event event;
+  const std::vector<std::string_view> words(kEvents.begin(), kEvents.end());
+  event.kind = static_cast<Event::Kind>(table.choice("do", words));
+  event.at = within(table, "at", 0, scenario.length, 0);
+  using Kind = Event::Kind;
+  switch (event.kind) {
+    case Kind::Hang:
+    case Kind::Drain:
+    case Kind::Die:
+    case Kind::Start:
+    case Kind::Fault:
+      event.target = static_cast<std::uint32_t>(table.integer("node", 1, scenario.nodeCount())) - 1;
+      break;
+    case Kind::Kill:
+    case Kind::Terminate:
+    case Kind::Pause:
+      event.target = static_cast<std::uint32_t>(table.integer("sidecar", 1, scenario.sidecars)) - 1;
+      break;
+    case Kind::Load:
+      event.factor = table.number("factor", 0.001, 1000);
+      break;
+    case Kind::DiscoveryDown:
+    case Kind::DiscoverySilent:
+      break;
+  }
+  const bool lasts = event.kind != Kind::Drain && event.kind != Kind::Die && event.kind != Kind::Start &&
+                     event.kind != Kind::Terminate;
+  if (lasts) event.length = table.duration("for");
+  if (event.kind == Kind::Fault) {
+    auto plan = table.table("plan");
+    if (!plan) table.fail("", "the key 'plan' is missing");
+    event.plan = fault::readPlan(*plan);
+    plan->finish();
+  }
+  table.finish();
+  return event;
+}
+
+void readRows(Table& root, Scenario& scenario) {
+  for (Table& table : root.tables("node", kMaxRows)) scenario.nodes.push_back(readNode(table));
+  if (scenario.nodes.empty()) root.fail("", "no [[node]]");
+  if (scenario.nodeCount() > kMaxNodes) root.fail("node", "over 256 nodes in all");
+  for (Table& table : root.tables("class", kMaxRows)) {
+    scenario.classes.push_back(readClass(table));
+    const auto same = std::count_if(scenario.classes.begin(), scenario.classes.end(), [&](const auto& one) {
+      return one.name == scenario.classes.back().name;
+    });
+    if (same > 1) table.fail("name", "a class of this name is there already");
+  }
+  if (scenario.classes.empty()) root.fail("", "no [[class]]");
+  for (Table& table : root.tables("tenant", kMaxRows)) {
+    Tenant tenant{table.text("name"), table.number("share", 0, 1e6, 1)};
+    table.finish();
+    scenario.tenants.push_back(std::move(tenant));
+  }
+  if (scenario.tenants.empty()) scenario.tenants.push_back({"escuela", 1});
+}
+
+Scenario read(const configfile::Document& document) {
+  Scenario scenario;
+  Table root = document.root();
+  scenario.name = root.text("name");
+  scenario.length = within(root, "length", 1'000'000, kMaxLength, scenario.length);
+  scenario.seed = static_cast<std::uint64_t>(root.integer("seed", 0, std::int64_t{1} << 62, 1));
+  scenario.sidecars =
+      static_cast<std::uint32_t>(root.integer("sidecars", 1, kMaxSidecars, scenario.sidecars));
+  scenario.sockets = static_cast<std::uint32_t>(root.integer("sockets", 32, 1'000'000, scenario.sockets));
+  scenario.rate = root.number("rate", 0.1, 100'000, scenario.rate);
+  scenario.retries = static_cast<std::uint32_t>(root.integer("retries", 0, 10, 0));
+  scenario.backoff = within(root, "backoff", 0, 60'000'000, scenario.backoff);
+  scenario.impatient = root.number("impatient", 0, 1, 0);
+  scenario.notice = within(root, "notice", 0, 600'000'000, scenario.notice);
+  scenario.probes = root.flag("probes", true);
+  scenario.secondCopies = root.flag("second_copies", true);
+  auto& rules = scenario.rules;
+  rules.keyWindow = within(root, "key_window", 0, 600'000'000, rules.keyWindow);
+  rules.drainGrace = within(root, "drain_grace", 0, 600'000'000, rules.drainGrace);
+  rules.fallMultiple = root.number("fall_multiple", 0, 1000, rules.fallMultiple);
+  rules.fallWindow = within(root, "fall_window", 1000, 600'000'000, rules.fallWindow);
+  readRows(root, scenario);
+  for (NodeKind& node : scenario.nodes) {
+    node.model.fallMultiple = rules.fallMultiple;
+    node.model.fallWindow = rules.fallWindow;
+  }
+  for (Table& table : root.tables("event", kMaxEvents)) scenario.events.push_back(readEvent(table, scenario));
+  std::stable_sort(scenario.events.begin(), scenario.events.end(),
+                   [](const Event& a, const Event& b) { return a.at < b.at; });
+  root.finish();
+  return scenario;
+}
+
+}  // namespace
+
+const char* nameOf(Event::Kind kind) {
+  return kEvents.at(static_cast<std::size_t>(kind));
+}
+
+std::uint32_t Scenario::nodeCount() const {
+  std::uint32_t count = 0;
+  for (const NodeKind& node : nodes) count += node.count;
+  return count;
+}
+
+Scenario readScenario(const std::string& path) {
+  return read(configfile::Document::read(path));
+}
+
+Scenario parseScenario(std::string_view text, const std::string& name) {
+  return read(configfile::Document::parse(text, name));
+}
+
+json settingsOf(const Scenario& scenario, std::uint32_t sidecar) {
+  json classes = json::array(), tenants = json::array(), kinds = json::array();
+  for (const RequestClass& cls : scenario.classes) {
+    const char* const semantics = cls.effect == Effect::Safe    ? "free"
+                                  : cls.effect == Effect::Keyed ? "guarded"
+                                                                : "single_shot";
+    json one = {{"name", cls.name},       {"aim", cls.aim},     {"deadline", cls.deadline},
+                {"semantics", semantics}, {"value", cls.worth}, {"group", "cell"}};
+    if (cls.effect == Effect::Keyed) one["repeatWindow"] = scenario.rules.keyWindow;
+    classes.push_back(std::move(one));
+  }
+  double all = 0;
+  for (const Tenant& tenant : scenario.tenants) all += tenant.share;
+  for (const Tenant& tenant : scenario.tenants)
+    tenants.push_back({{"name", tenant.name}, {"share", all > 0 ? tenant.share / all : 0}});
+  double cold = 1;
+  Micros warm = 0;
+  for (const NodeKind& node : scenario.nodes) {
+    if (std::find(kinds.begin(), kinds.end(), node.name) == kinds.end()) kinds.push_back(node.name);
+    cold = std::min(cold, node.model.coldShare);
+    warm = std::max(warm, node.model.warm);
+  }
+  return {{"balancers", scenario.sidecars},
+          {"index", sidecar},
+          {"classes", classes},
+          {"projects", tenants},
+          {"skus", kinds},
+          {"zones", {"oviedo-dc1"}},
+          {"locality", "oviedo-dc1"},
+          {"membershipMode", "automatic"},
+          {"limits",
+           {{"connectTimeout", 250'000},
+            {"idleClose", 30'000'000},
+            {"maxStreams", 1},
+            {"maxAttempts", 3},
+            {"mayCancel", true},
+            {"probing", scenario.probes},
+            {"secondCopies", scenario.secondCopies},
+            {"retryAfter", false}}},
+          {"report", {{"how", "probe"}, {"columns", {"failed_ps", "svc_ms", "served_ps", "busy_reqs"}}}},
+          {"overShareWorth", 0.05},
+          {"contract",
+           {{"stopSendingWithin", scenario.rules.drainGrace},
+            {"startCapacity", cold},
+            {"cold", warm},
+            {"fallMultiple", scenario.rules.fallMultiple},
+            {"fall", scenario.rules.fallWindow}}}};
+}
+
+}  // namespace ivypost::fleet
--- /dev/null
+++ b/src/fleet/scenario.h
@@ -0,0 +1,96 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// A scenario of the stand-in fleet: what nodes, sidecars and clients there are, and what happens to them
+// when. Plain data, read from TOML; docs/operators/fault-injection.md has the form.
+#ifndef IVYPOST_FLEET_SCENARIO_H_
+#define IVYPOST_FLEET_SCENARIO_H_
+
+#include <cstdint>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fault/plan.h"
+#include "standins/ledger.h"
+#include "standins/node_model.h"
+
+namespace ivypost::fleet {
+
+using standins::Micros;
+
+struct NodeKind {
+  std::uint32_t count = 1;
+  std::string name = "nodo-medio";
+  standins::NodeSettings model;
+};
+
+struct RequestClass {
+  std::string name;
+  standins::Effect effect = standins::Effect::Safe;
+  double share = 1;  // of the arrivals, relative to the others
+  double worth = 1;
+  Micros work = 10'000;  // mean, of a core at speed 1
+  Micros aim = 500'000, deadline = 1'000'000;
+};
+
+struct Tenant {
+  std::string name;
+  double share = 1;  // of the arrivals, relative to the others; also its quota
+};
+
+struct Event {
+  enum class Kind : std::uint8_t {
+    Hang,             // the node takes requests and answers none, for `length`
+    Drain,            // discovery tells it after `notice`; the node finishes what it has
+    Die,              // the node's process ends; discovery tells it after `notice`
+    Start,            // the node starts again, cold; discovery tells it after `notice`
+    Fault,            // the plan lies between all sidecars and the node, for `length`
+    DiscoveryDown,    // for `length`
+    DiscoverySilent,  // for `length`
+    Load,             // the rate is `factor` times the scenario's, for `length`
+    Kill,             // the sidecar gets SIGKILL, and starts again after `length`
+    Terminate,        // the sidecar gets SIGTERM, and starts again when it has ended
+    Pause,            // the sidecar gets SIGSTOP, and goes on after `length`
+  };
+  Kind kind = Kind::Hang;
+  Micros at = 0, length = 0;
+  std::uint32_t target = 0;  // the node's or sidecar's number, from 0
+  double factor = 1;
+  fault::Plan plan;
+};
+const char* nameOf(Event::Kind kind);
+
+struct Scenario {
+  std::string name;
+  Micros length = 30'000'000;
+  std::uint64_t seed = 1;
+  std::uint32_t sidecars = 3;
+  std::uint32_t sockets = 1024;  // descriptors of a sidecar
+  std::vector<NodeKind> nodes;
+  std::vector<RequestClass> classes;
+  std::vector<Tenant> tenants;
+  double rate = 100;  // first tries a second, over all clients; they share it evenly
+  std::uint32_t retries = 0;
+  Micros backoff = 50'000;
+  double impatient = 0;
+  Micros notice = 1'000'000;  // from a change to when discovery tells it
+  bool probes = true, secondCopies = true;
+  standins::Rules rules;
+  std::vector<Event> events;  // in the order of their times
+
+  std::uint32_t nodeCount() const;
+};
+
+constexpr std::uint32_t kMaxSidecars = 64, kMaxNodes = 256;
+
+// Both throw configfile::Error, whose text is one line with file, line, key and what is allowed.
+Scenario readScenario(const std::string& path);
+Scenario parseScenario(std::string_view text, const std::string& name);
+
+// The `settings` of a sidecar's configuration for this scenario, as the platform would give them.
+nlohmann::json settingsOf(const Scenario& scenario, std::uint32_t sidecar);
+
+}  // namespace ivypost::fleet
+
+#endif  // IVYPOST_FLEET_SCENARIO_H_
--- a/src/standins/client.cpp
+++ b/src/standins/client.cpp
@@ -141,7 +141,11 @@
   // the client sends the request once more on a new one.
   void cut() {
     const bool untold = !parser_ || !parser_->got_some();
-    owner_->ledger_.cut(id_, untold, nowMicros());
+    if (owner_->gone_) {
+      owner_->ledger_.left(id_, nowMicros());
+    } else {
+      owner_->ledger_.cut(id_, untold, nowMicros());
+    }
     Client& owner = *owner_;
     if (used_ && untold && nowMicros() < deadline_) {
       error_code error;
--- a/src/standins/client.h
+++ b/src/standins/client.h
@@ -69,6 +69,8 @@
   // Arrivals from now on, until stop(). May be called again to change the load.
   void start(Load load);
   void stop();
+  // The sidecar was killed, or is back: what it holds when it is killed is the client's to send again, and no loss.
+  void sidecarGone(bool gone) { gone_ = gone; }
   // Requests that are not over.
   std::size_t open() const;
 
@@ -89,7 +91,7 @@
   std::mt19937_64 random_;
   Ledger& ledger_;
   Load load_;
-  bool running_ = false;
+  bool running_ = false, gone_ = false;
   Micros nextAt_ = 0;
   std::uint64_t lastId_ = 0;
   Counts counts_;
--- a/src/standins/http_server.h
+++ b/src/standins/http_server.h
@@ -65,6 +65,8 @@
   struct Door {
     std::string tag;
     boost::asio::ip::tcp::endpoint address;
+    // Bound and never listening: keeps the port ours while nobody listens there.
+    std::shared_ptr<boost::asio::ip::tcp::socket> keeper;
     std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor;
   };
   void open(Door& door);
