Take no list older than the last one unless the whole list repeats it

Need: an answer of discovery with an older generation was followed, so that a copy that lags behind could bring a removed node back; nothing new may go there.

An older generation is not taken; the whole list is asked for, and only if that has an older generation too has discovery begun anew.

--- a/src/sidecar/discovery.cpp
+++ b/src/sidecar/discovery.cpp
@@ -137,6 +137,7 @@
   std::fprintf(stderr, "discovery moves to %s:%u\n", address.address().to_string().c_str(), address.port());
   address_ = address;
   generation_.reset();
+  doubted_ = false;
   watching_ = true;
   if (connection_) std::exchange(connection_, nullptr)->close();
   callAfter(milliseconds(0));
@@ -152,7 +153,7 @@
 void Discovery::call() {
   if (!watching_ && !fetching_) return;
   std::string target = "/v1/endpoints";
-  const bool whole = fetching_ || !generation_;
+  const bool whole = fetching_ || !generation_ || doubted_;
   const milliseconds wait = whole ? milliseconds(0) : pushed_ ? kPushedWait : kAskedWait;
   if (!whole) target += "?index=" + std::to_string(*generation_) + "&wait=" + std::to_string(wait.count());
   if (!connection_) connection_ = std::make_shared<Connection>(*this);
@@ -163,11 +164,19 @@
   InstanceList list;
   try {
     list = parseInstances(text);
-    if ((fetching_ || !generation_) && !list.whole)
+    if ((fetching_ || !generation_ || doubted_) && !list.whole)
       throw orchiddrum::FormatError("the whole list was asked for, and not sent");
   } catch (const orchiddrum::FormatError& error) {
     return failed(error.what());
   }
+  // Guards against a copy of discovery that lags behind, and would bring removed upstreams back. Where the
+  // whole list says so again, discovery has begun anew.
+  if (generation_ && list.generation < *generation_ && !std::exchange(doubted_, true)) {
+    std::fprintf(stderr, "discovery: generation %lld after %lld; the whole list is asked for\n",
+                 static_cast<long long>(list.generation), static_cast<long long>(*generation_));
+    return callAfter(kAgain);
+  }
+  doubted_ = false;
   if (std::exchange(lost_, false)) std::fprintf(stderr, "discovery is back\n");
   const bool news = fetching_ || list.whole || !list.instances.empty();
   fetching_ = false;
--- a/src/sidecar/discovery.h
+++ b/src/sidecar/discovery.h
@@ -55,6 +55,7 @@
   bool watching_ = false;
   bool fetching_ = false;
   bool lost_ = false;
+  bool doubted_ = false;  // the last answer's generation was older than the one before
 };
 
 }  // namespace ivypost
