--- /dev/null
+++ b/tests/fleet/scenario_test.cpp
@@ -0,0 +1,122 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+#include "fleet/scenario.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "configfile/table.h"
+#include "settings.h"
+
+namespace ivypost::fleet {
+namespace {
+
+const std::string kLeast = "name = \"n\"\n[[node]]\n[[class]]\nname = \"a\"\neffect = \"unsafe\"\n";
+
+TEST(Scenario, ReadsTheLeast) {
+  const Scenario scenario = parseScenario(kLeast, "s");
+  EXPECT_EQ(scenario.nodeCount(), 1u);
+  EXPECT_EQ(scenario.tenants.size(), 1u);
+  EXPECT_EQ(scenario.classes[0].effect, standins::Effect::Unsafe);
+  EXPECT_EQ(scenario.length, 30'000'000);
+}
+
+TEST(Scenario, PutsEventsInOrderAndReadsPlans) {
+  const Scenario scenario = parseScenario(
+      "name = \"n\"\nsidecars = 2\n[[node]]\ncount = 3\n[[class]]\nname = \"a\"\neffect = \"safe\"\n"
+      "[[event]]\nat = \"9s\"\ndo = \"drain\"\nnode = 3\n"
+      "[[event]]\nat = \"2s\"\ndo = \"fault\"\nnode = 1\nfor = "
+      "\"1s\"\n[[event.plan.rule]]\n[[event.plan.rule.answer]]\n"
+      "do = \"swallow\"\n"
+      "[[event]]\nat = \"3s\"\ndo = \"kill\"\nsidecar = 2\nfor = \"1s\"\n",
+      "s");
+  ASSERT_EQ(scenario.events.size(), 3u);
+  EXPECT_EQ(scenario.events[0].kind, Event::Kind::Fault);
+  EXPECT_EQ(scenario.events[0].plan.rules.size(), 1u);
+  EXPECT_EQ(scenario.events[1].target, 1u);
+  EXPECT_EQ(scenario.events[2].kind, Event::Kind::Drain);
+  EXPECT_EQ(scenario.events[2].target, 2u);
+}
+
+TEST(Scenario, RefusesABadOneWithOneLine) {
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"", "s:1: the key 'name' is missing"},
+      {"name = \"n\"", "s:1: no [[node]]"},
+      {"name = \"n\"\n[[node]]", "s:1: no [[class]]"},
+      {kLeast + "[[class]]\nname = \"a\"\neffect = \"safe\"",
+       "s:7: class[2].name: a class of this name is there already"},
+      {kLeast + "[[event]]\ndo = \"hang\"\nnode = 2\nfor = \"1s\"",
+       "s:8: event[1].node: 2 is out of range; allowed is 1 to 1"},
+      {kLeast + "[[event]]\ndo = \"hang\"\nnode = 1", "s:6: event[1]: the key 'for' is missing"},
+      {kLeast + "[[event]]\ndo = \"drain\"\nnode = 1\nfor = \"1s\"",
+       "s:9: event[1].for: there is no such key; did you mean 'do'?"},
+      {kLeast + "[[event]]\nat = \"31s\"\ndo = \"drain\"\nnode = 1", "s:7: event[1].at: out of range"},
+      {kLeast + "[[event]]\ndo = \"fault\"\nnode = 1\nfor = \"1s\"\n[event.plan]\nlistener = \"x\"",
+       "s:11: event[1].plan.listener: \"x\" is not allowed; allowed is accept, refuse, full"},
+      {"name = \"n\"\n[[node]]\ncount = 200\n[[node]]\ncount = 57\n[[class]]\nname = \"a\"\neffect = "
+       "\"safe\"",
+       "s:2: node: over 256 nodes in all"},
+      {"name = \"n\"\n[[node]]\n[[class]]\nname = \"a b\"\neffect = \"safe\"",
+       "s:4: class[1].name: a class's name is one word and part of paths"},
+  };
+  for (const auto& [text, expected] : cases) {
+    try {
+      parseScenario(text, "s");
+      ADD_FAILURE() << "accepted: " << text;
+    } catch (const configfile::Error& error) {
+      EXPECT_EQ(std::string(error.what()), expected);
+    }
+  }
+}
+
+// What the sidecar reads of it is what the scenario says: no key of the settings is misspelt here.
+TEST(Scenario, GivesSettingsThatTheSidecarReads) {
+  const Scenario scenario = parseScenario(
+      "name = \"n\"\nsidecars = 4\nkey_window = \"600ms\"\nfall_multiple = 3\n"
+      "[[node]]\nkind = \"slow\"\ncold_share = 0.25\nwarm = \"6s\"\n[[node]]\nkind = \"fast\"\n"
+      "[[class]]\nname = \"a\"\neffect = \"keyed\"\nworth = 5\n[[class]]\nname = \"b\"\neffect = "
+      "\"unsafe\"\n",
+      "s");
+  const nlohmann::json settings = settingsOf(scenario, 2);
+  // The dotted form of the sidecar's configuration, as config.cpp makes it.
+  std::string line = "settings";
+  const std::function<void(const nlohmann::json&, const std::string&)> flatten =
+      [&](const nlohmann::json& value, const std::string& path) {
+        const std::string below = path.empty() ? "" : path + ".";
+        if (value.is_object()) {
+          for (const auto& [key, item] : value.items()) flatten(item, below + key);
+        } else if (value.is_array() && value.front().is_structured()) {
+          line += " " + below + "count=" + std::to_string(value.size());
+          for (std::size_t n = 0; n < value.size(); ++n) flatten(value[n], below + std::to_string(n));
+        } else if (value.is_array()) {
+          std::string joined;
+          for (const auto& item : value) joined += (joined.empty() ? "" : ",") + item.get<std::string>();
+          line += " " + path + "=" + joined;
+        } else {
+          line += " " + path + "=" + (value.is_string() ? value.get<std::string>() : value.dump());
+        }
+      };
+  flatten(settings, "");
+  const auto site = orchiddrum::readSite(orchiddrum::Line(line));
+  EXPECT_EQ(site.settings.sidecars, 4u);
+  EXPECT_EQ(site.settings.kinds, 2u);
+  EXPECT_EQ(site.settings.classes[0].semantics, orchiddrum::Semantics::Keyed);
+  EXPECT_EQ(site.settings.classes[0].group, orchiddrum::RepeatGroup::Cell);
+  EXPECT_EQ(site.settings.classes[0].repeatWindow, 600'000);
+  EXPECT_EQ(site.settings.classes[0].value, 5);
+  EXPECT_EQ(site.settings.classes[1].semantics, orchiddrum::Semantics::Unsafe);
+  EXPECT_EQ(site.settings.startCapacity, 0.25);
+  EXPECT_EQ(site.settings.coldFor, 6'000'000);
+  EXPECT_EQ(site.settings.fallMultiple, 3);
+  EXPECT_EQ(site.settings.drainGrace, 2'000'000);
+  EXPECT_TRUE(site.settings.mayProbe);
+  EXPECT_TRUE(site.settings.mayCancel);
+  EXPECT_EQ(site.settings.maxAttempts, 3u);
+  EXPECT_EQ(site.settings.reports, orchiddrum::ReportSource::Probes);
+}
+
+}  // namespace
+}  // namespace ivypost::fleet
