--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -48,6 +48,7 @@
   standins::Discovery::Entry entry;
 };
 
+// NOLINTNEXTLINE(bugprone-exception-escape): the JSON library's moves may throw where memory has run out.
 struct Fleet::Sidecar {
   std::uint32_t number = 0;
   std::string name, config;  // the latter: its file
@@ -153,8 +154,9 @@
 }
 
 void Fleet::launch(Sidecar& sidecar) {
+  // Hexadecimal as it stands, and another one at each start.
   const std::string seed =
-      std::to_string(scenario_.seed * 100 + sidecar.number + 10 + 1000 * sidecar.result.starts);
+      std::to_string(scenario_.seed * 100'000 + sidecar.result.starts * std::uint64_t{100} + sidecar.number);
   const json file = {{"name", sidecar.name},
                      {"listen", "127.0.0.1:" + std::to_string(sidecar.port)},
                      {"discovery", "127.0.0.1:" + std::to_string(sidecar.discoveryPort)},
