--- a/src/standins/node.cpp
+++ b/src/standins/node.cpp
@@ -59,6 +59,11 @@
   return found == seen_.end() ? 0 : found->second;
 }
 
+std::uint32_t Node::arrivalsOfKey(const std::string& key) const {
+  const auto found = seenKeys_.find(key);
+  return found == seenKeys_.end() ? 0 : found->second;
+}
+
 void Node::handle(Exchange exchange) {
   const std::string target(exchange->request.target());
   if (target == "/health" || target == "/status/load") return probe(exchange);
@@ -66,6 +71,7 @@
   if (trace.empty()) return exchange->reply(404, "no id\n");
   ++arrivals_;
   ++seen_[trace];
+  if (const std::string key = exchange->header("Idempotency-Key"); !key.empty()) ++seenKeys_[key];
   const std::string requestClass = target.substr(1, target.find('/', 1) - 1);
   const Micros work = workOf(requestClass, trace), now = nowMicros();
   ledger_.touched(trace, settings_.id, exchange->tag, exchange->firstByteAt);
--- a/src/standins/node.h
+++ b/src/standins/node.h
@@ -63,6 +63,7 @@
   std::uint64_t arrivals() const { return arrivals_; }
   std::uint64_t probes() const { return probes_; }
   std::uint32_t arrivalsOf(const std::string& trace) const;
+  std::uint32_t arrivalsOfKey(const std::string& key) const;  // an Idempotency-Key
   std::uint64_t connectionsAccepted() const { return server_.accepted(); }
   std::size_t connections() const { return server_.connections(); }
   const NodeModel& model() const { return model_; }
@@ -89,7 +90,7 @@
   boost::asio::steady_timer timer_;
   std::deque<Once> once_;
   std::unordered_map<NodeModel::Job, Job> jobs_;
-  std::unordered_map<std::string, std::uint32_t> seen_;
+  std::unordered_map<std::string, std::uint32_t> seen_, seenKeys_;
   std::uint64_t arrivals_ = 0, probes_ = 0;
   HttpServer server_;  // the last: its connections' ends call back
 };
--- a/tests/e2e/reuse_test.cpp
+++ b/tests/e2e/reuse_test.cpp
@@ -176,6 +176,22 @@
   EXPECT_EQ(world.nodes[0]->arrivals(), arrivals);
 }
 
+// Discovery moves while the sidecar runs: what changes behind that is told at the new address alone.
+TEST_F(LyingDiscoveryTest, MovedElsewhere) {
+  const auto calls = world.discovery.calls();
+  world.sidecar->reload(world.movedDiscovery());
+  ASSERT_TRUE(world.until([&] { return world.discovery.calls() >= calls + 2; }));
+  auto gone = world.discovery.entry("n1");
+  gone.state = standins::Discovery::State::Removed;
+  const auto before = world.discovery.calls();
+  world.discovery.put(gone);
+  ASSERT_TRUE(world.until([&] { return world.discovery.calls() >= before + 1; }));
+  const auto arrivals = world.nodes[0]->arrivals();
+  for (int n = 0; n < 10; ++n) EXPECT_TRUE(serves());
+  EXPECT_EQ(world.nodes[0]->arrivals(), arrivals);
+  EXPECT_EQ(world.judged(), "");
+}
+
 // Another's list: of another service, or for another kind of reader. What is no list of instances is refused
 // whole.
 TEST_F(LyingDiscoveryTest, AnothersList) {
--- a/tests/e2e/world.h
+++ b/tests/e2e/world.h
@@ -95,6 +95,9 @@
     return count;
   }
 
+  // The configuration with discovery at another address, as it is read anew at SIGHUP.
+  Config movedDiscovery() { return parseConfig(configuration(json::object()).dump()); }
+
   // What the ledger has to say, one line a breach with its story; empty: nothing.
   std::string judged() {
     ledger.settle(standins::nowMicros() + 60'000'000);
--- a/tests/standins/standins_test.cpp
+++ b/tests/standins/standins_test.cpp
@@ -186,6 +186,8 @@
   EXPECT_EQ(one.ask(post("a1", "k1")).body().find("a repeat"), std::string::npos);
   EXPECT_NE(two.ask(post("a1", "k1")).body().find("a repeat"), std::string::npos);
   EXPECT_EQ(keys.effects("k1"), 1u);
+  EXPECT_EQ(first->arrivalsOfKey("k1") + second->arrivalsOfKey("k1"), 2u);
+  EXPECT_EQ(first->arrivalsOfKey("k2"), 0u);
 }
 
 // ---- Discovery --------------------------------------------------------------------------------------------
