Let a blocked direction of a fault proxy not hold up the other's delays

Seen in reading: the proxy armed its timer for the earliest of both directions, so that bytes which waited for their socket hid what the other direction owed at a time. Each direction's time counts only while its socket is free; the test hangs without that. A sidecar whose log line is too long no longer fills a pipe that nobody reads.

--- a/src/fault/connection.cpp
+++ b/src/fault/connection.cpp
@@ -305,16 +305,26 @@
   return output;
 }
 
-std::optional<Micros> Connection::next() const {
+std::optional<Micros> Connection::due(Direction direction) const {
+  const Flow& f = flow(direction);
+  return f.queue.empty() ? std::nullopt : std::optional(f.queue.front().due);
+}
+
+std::optional<Micros> Connection::nextStep() const {
   std::optional<Micros> at;
-  const auto consider = [&](Micros time) { at = std::min(at.value_or(time), time); };
-  for (const Flow& f : flows_) {
-    if (!f.queue.empty()) consider(f.queue.front().due);
-  }
   for (const Armed& armed : armed_) {
-    if (const auto* const time = std::get_if<AtTime>(&armed.step.trigger.when);
-        time != nullptr && !armed.done)
-      consider(acceptedAt_ + time->after);
+    const auto* const time = std::get_if<AtTime>(&armed.step.trigger.when);
+    if (time == nullptr || armed.done) continue;
+    const Micros when = acceptedAt_ + time->after;
+    at = std::min(at.value_or(when), when);
+  }
+  return at;
+}
+
+std::optional<Micros> Connection::next() const {
+  std::optional<Micros> at = nextStep();
+  for (const Direction d : {Direction::Request, Direction::Answer}) {
+    if (const auto when = due(d)) at = std::min(at.value_or(*when), *when);
   }
   return at;
 }
--- a/src/fault/connection.h
+++ b/src/fault/connection.h
@@ -75,7 +75,10 @@
   // What is due in this direction, the oldest first; none: nothing yet. Outputs of a direction have to be
   // carried out in their order.
   std::optional<Output> take(Direction direction, Micros now);
-  // When advance() or take() has something to do next; none: not before another event.
+  // When take() has something in this direction, when advance() has, and when either has; none: not before
+  // another event.
+  std::optional<Micros> due(Direction direction) const;
+  std::optional<Micros> nextStep() const;
   std::optional<Micros> next() const;
 
   std::vector<Done> takeLog();
--- a/src/fault/proxy.cpp
+++ b/src/fault/proxy.cpp
@@ -224,10 +224,13 @@
   }
 
   void arm() {
-    const auto at = engine_.next();
+    auto at = engine_.nextStep();
+    for (const Direction d : {Direction::Request, Direction::Answer}) {
+      // What waits for its socket, and not for a time, is taken when that is ready.
+      const bool waits = writing_[static_cast<std::size_t>(d)] || (d == Direction::Request && !connected_);
+      if (const auto due = engine_.due(d); due && !waits) at = std::min(at.value_or(*due), *due);
+    }
     if (!at) return;
-    // What is due and waits for its socket is taken when that is ready.
-    if (*at <= now() && !(connected_ && !writing_[0] && !writing_[1])) return;
     timer_.expires_at(Clock::time_point(microseconds(*at)));
     timer_.async_wait([self = shared_from_this()](error_code cancelled) {
       if (!cancelled) self->pump();
--- a/src/fleet/process.cpp
+++ b/src/fleet/process.cpp
@@ -30,8 +30,11 @@
 
   void read() {
     boost::asio::async_read_until(stream, buffer, '\n',
-                                  [self = shared_from_this()](boost::system::error_code error, std::size_t) {
-                                    if (error || !self->line) return;
+                                  [self = shared_from_this()](boost::system::error_code failed, std::size_t) {
+                                    // Closed, so that the child is not held up by a pipe that nobody reads.
+                                    boost::system::error_code ignored;
+                                    if (failed) self->stream.close(ignored);
+                                    if (failed || !self->line) return;
                                     std::istream text(&self->buffer);
                                     std::string one;
                                     std::getline(text, one);
--- a/tests/fault/proxy_test.cpp
+++ b/tests/fault/proxy_test.cpp
@@ -100,7 +100,7 @@
       if (error) return;
       end->echo = echo;
       servers.push_back(end);
-      end->read();
+      if (reads) end->read();
       accept();
     });
   }
@@ -110,7 +110,7 @@
   std::vector<std::shared_ptr<End>> servers;
   std::vector<std::pair<std::uint64_t, Done>> log;
   std::unique_ptr<Proxy> proxy;
-  bool echo = false;
+  bool echo = false, reads = true;
 };
 
 TEST_F(ProxyTest, PassesBothWaysAndBothEnds) {
@@ -234,6 +234,26 @@
   }));
 }
 
+// Guards against one direction that waits for its socket and holds up the other, which waits for a time.
+TEST_F(ProxyTest, ABlockedDirectionDoesNotHoldUpTheOther) {
+  reads = false;
+  start(one(Direction::Answer, {}, Delay{50'000, 0}));
+  const auto client = connect();
+  ASSERT_TRUE(wait([&] { return servers.size() == 1; }));
+  client->socket.non_blocking(true);
+  const std::string block(1 << 16, 'x');
+  for (int still = 0; still < 50; ++still) {
+    error_code error;
+    client->socket.write_some(asio::buffer(block), error);
+    if (!error) still = 0;
+    io.restart();
+    io.run_for(std::chrono::milliseconds(1));
+  }
+  ASSERT_GT(proxy->list(1)[0].held, 0u);
+  servers[0]->send("answer");
+  EXPECT_TRUE(wait([&] { return client->got == "answer"; }));
+}
+
 TEST_F(ProxyTest, CarriesAThousandConnections) {
   rlimit limit{};
   getrlimit(RLIMIT_NOFILE, &limit);
