--- a/tests/fault/plan_reader_test.cpp
+++ b/tests/fault/plan_reader_test.cpp
@@ -67,6 +67,25 @@
   EXPECT_TRUE(parsePlan("", "p").rules.empty());
 }
 
+TEST(PlanReader, HoldsToItsBounds) {
+  const auto refused = [](const std::string& text) {
+    try {
+      parsePlan(text, "p");
+    } catch (const configfile::Error& error) {
+      return std::string(error.what());
+    }
+    return std::string();
+  };
+  std::string rules, steps = "[[rule]]\n";
+  for (std::size_t n = 0; n < kMaxRules; ++n) rules += "[[rule]]\n";
+  for (std::size_t n = 0; n < kMaxSteps; ++n) steps += "[[rule.answer]]\ndo = \"pass\"\n";
+  EXPECT_EQ(refused(rules), "");
+  EXPECT_EQ(refused(steps), "");
+  EXPECT_EQ(refused(rules + "[[rule]]\n"), "p:1: rule: there are 257 of them; allowed is 0 to 256");
+  EXPECT_EQ(refused(steps + "[[rule.answer]]\ndo = \"pass\"\n"),
+            "p:2: rule[1].answer: there are 257 of them; allowed is 0 to 256");
+}
+
 TEST(PlanReader, RefusesABadPlanWithOneLine) {
   const std::string step = "[[rule]]\n[[rule.request]]\n";
   const std::vector<std::pair<std::string, std::string>> cases = {
--- a/tests/fault/proxy_test.cpp
+++ b/tests/fault/proxy_test.cpp
@@ -355,6 +355,22 @@
     EXPECT_THROW(parseAddress(text), std::invalid_argument) << text;
 }
 
+TEST_F(ProxyTest, TakesSoManyControllersAndNoMore) {
+  start();
+  const std::string path = temporaryPath("controllers");
+  Control control(io, path, *proxy);
+  std::vector<std::shared_ptr<End>> controllers;
+  for (std::size_t n = 0; n <= kMaxControllers; ++n) {
+    controllers.push_back(std::make_shared<End>(io));
+    controllers.back()->socket.connect(asio::local::stream_protocol::endpoint(path));
+    controllers.back()->read();
+  }
+  ASSERT_TRUE(wait([&] { return controllers.back()->eof(); }));
+  controllers.front()->send("{\"do\":\"counts\"}\n");
+  ASSERT_TRUE(wait([&] { return !controllers.front()->got.empty(); }));
+  for (std::size_t n = 0; n < kMaxControllers; ++n) EXPECT_FALSE(controllers[n]->error);
+}
+
 // Commands: each answered by one line, bad ones with a reason and nothing changed.
 TEST_F(ProxyTest, AnswersCommands) {
   start(one(Direction::Request, {AtCommand{"cut"}, {}}, Reset{}));
