Keep the door open: answers end unused connections, late and left requests go no further

The time of a request that stood unread counts (TCP_INFO), and a connection that its client left in the queue is dropped.

--- /dev/null
+++ b/src/admission/peer.cpp
@@ -0,0 +1,30 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+#include "admission/peer.h"
+
+#include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+namespace ivypost::admission {
+
+bool peerHasLeft(int socket) {
+  pollfd asked{socket, POLLRDHUP, 0};
+  return poll(&asked, 1, 0) > 0 && (asked.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+std::chrono::milliseconds sinceLastData(int socket) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return {};
+  return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
+bool allAcknowledged(int socket) {
+  int unsent = 0;
+  return ioctl(socket, SIOCOUTQ, &unsent) == 0 && unsent == 0;
+}
+
+}  // namespace ivypost::admission
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "admission/peer.h"
 #include "framing.h"
 #include "request_form.h"
 
@@ -33,10 +34,6 @@
 constexpr milliseconds kMaxRequest{2500};
 // An answer must be gone within this time.
 constexpr milliseconds kAnswerTime{5000};
-// At the limit of connections one that has sent nothing for so long gives way, then one that has been between
-// requests for so long. Nobody may be closed sooner; the next client waits in the kernel's queue.
-constexpr milliseconds kKeepSilent{100};
-constexpr milliseconds kKeepIdle{2000};
 // A client that has got an error is read again after this pause: one that sends the same at full speed must
 // not take the core from the others.
 constexpr milliseconds kErrorPause{100};
@@ -46,6 +43,8 @@
 constexpr std::size_t kMaxDiscard = 64UL * 1024;
 // What a client may send ahead while its request waits; beyond it a close is noticed late.
 constexpr std::size_t kMaxAhead = 16UL * 1024;
+// The kernel tells times by its own tick, of 10 ms at the most; less may be none.
+constexpr milliseconds kKernelTick{10};
 // The longest time that a client may ask for, so that sums of times stay far from overflow.
 constexpr std::int64_t kMaxExpiresInMs = 3'600'000;
 // A second request under the id of an open one may be read when that one is over: ids are remembered longer
@@ -56,7 +55,7 @@
 // SIGKILL comes no sooner than the longest deadline (3 s) and 0.7 s after SIGTERM.
 constexpr milliseconds kStopWithin{3600};
 constexpr milliseconds kStopCheck{20};
-// With no room left, accepting waits this long.
+// When the kernel has no descriptor for a new connection, accepting waits this long.
 constexpr milliseconds kAcceptPause{10};
 // Part of the descriptors that clients' connections may hold.
 constexpr double kClientShare = 0.55;
@@ -84,6 +83,13 @@
   return std::string_view(found->value().data(), found->value().size());
 }
 
+admission::DoorSettings doorSettings(const Config& config) {
+  admission::DoorSettings settings;
+  const double places = kClientShare * static_cast<double>(config.sockets);
+  settings.places = std::max<std::size_t>(1, static_cast<std::size_t>(places));
+  return settings;
+}
+
 std::string seconds(Micros span) {
   std::array<char, 32> text{};
   const int size = std::snprintf(text.data(), text.size(), "%.3f", static_cast<double>(span) / 1e6);
@@ -95,20 +101,18 @@
 // One client connection. It lives as long as the server lists it or an operation on it is out.
 class Server::Session : public std::enable_shared_from_this<Session> {
  public:
-  Session(Server& server, tcp::socket socket)
-      : server_(server), socket_(std::move(socket)), timer_(server.io_) {}
+  Session(Server& server, tcp::socket socket, admission::Door::Place place)
+      : server_(server), socket_(std::move(socket)), timer_(server.io_), place_(place) {}
 
   void start() {
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
     socket_.non_blocking(true, ignored);
-    enlist(server_.silent_);
-    limit(since_ + kMaxRequest);
+    limit(Clock::now() + kMaxRequest);
     watch();
   }
 
   bool idle() const { return state_ == State::Idle; }
-  Clock::time_point since() const { return since_; }
 
   // Whether nothing has come on an idle connection, so that closing it loses no request.
   bool quiet() {
@@ -116,6 +120,14 @@
     return peek() == asio::error::would_block;
   }
 
+  bool answered() const { return place_->requests > 0; }
+
+  // Whether closing it costs its client nothing.
+  bool givesWay() {
+    if (state_ == State::HangingUp) return admission::allAcknowledged(socket_.native_handle());
+    return quiet();
+  }
+
   RequestId request() const { return request_; }
   std::uint64_t trace() const { return trace_; }
 
@@ -125,7 +137,7 @@
     http::response<http::string_body> response(static_cast<http::status>(answer.status), 11);
     response.set(http::field::content_type, answer.contentType);
     if (answer.retryAfter > 0) response.set(http::field::retry_after, seconds(answer.retryAfter));
-    response.keep_alive(keepAlive_ && !server_.stopping_);
+    response.keep_alive(keepAlive_ && !server_.stopping_ && server_.door_.keeps(place_));
     response.body() = std::move(answer.body);
     response.prepare_payload();
     response_ = std::move(response);
@@ -147,12 +159,13 @@
     if (state_ == State::Closed) return;
     const bool waiting = state_ == State::Waiting;
     state_ = State::Closed;
-    delist();
     timer_.cancel();
     error_code ignored;
     socket_.close(ignored);
     const auto self = shared_from_this();  // the server's may have been the last
-    server_.sessions_.erase(self);
+    server_.sessions_.erase(place_->id);
+    server_.door_.leave(place_);
+    server_.roomMade();
     if (waiting && server_.endRequest(*this)) server_.callbacks_.over(request_);
   }
 
@@ -160,16 +173,6 @@
   // Idle: nothing of a request has come. Waiting: a request is taken and its answer owed.
   enum class State { Idle, Reading, Waiting, Writing, HangingUp, Closed };
 
-  void enlist(std::list<Session*>& list) {
-    list_ = &list;
-    place_ = list.insert(list.end(), this);
-    since_ = Clock::now();
-  }
-
-  void delist() {
-    if (list_ != nullptr) std::exchange(list_, nullptr)->erase(place_);
-  }
-
   error_code peek() {
     char byte = 0;
     error_code error;
@@ -202,7 +205,7 @@
   void next(milliseconds pause) {
     if (buffer_.size() == 0) buffer_.shrink_to_fit();
     state_ = State::Idle;
-    enlist(server_.idle_);
+    server_.door_.rest(place_, now());
     if (pause > milliseconds(0)) {
       timer_.expires_after(pause);
       timer_.async_wait([self = shared_from_this()](error_code cancelled) {
@@ -219,11 +222,11 @@
   }
 
   void read() {
-    const bool first = list_ == &server_.silent_;
-    const auto from = first ? since_ : Clock::now();
-    delist();
+    const bool first = place_->state == admission::Door::State::Silent;
     state_ = State::Reading;
-    limit(from + kMaxRequest);
+    // The first one's time began when it was let in, and its timer runs.
+    if (!first) limit(Clock::now() + kMaxRequest);
+    server_.door_.begin(place_, now());
     readHead(true);
   }
 
@@ -293,7 +296,7 @@
       return close();
     }
     keepAlive_ = parser_->keep_alive();
-    auto checked = server_.check(parser_->release());
+    auto checked = server_.check(parser_->release(), unreadFor());
     if (auto* answer = std::get_if<Answer>(&checked)) return write(std::move(*answer));
     auto& request = std::get<ClientRequest>(checked);
     state_ = State::Waiting;
@@ -312,6 +315,13 @@
     server_.callbacks_.taken(std::move(request));
   }
 
+  // How long a request that has been read now had stood unread: in the accept queue, or while the loop was
+  // late. Its time counts from its last byte.
+  milliseconds unreadFor() {
+    const auto waited = admission::sinceLastData(socket_.native_handle());
+    return waited < kKernelTick ? milliseconds(0) : waited;
+  }
+
   void limit(Clock::time_point until) {
     timer_.expires_at(until);
     timer_.async_wait([self = shared_from_this()](error_code cancelled) {
@@ -322,6 +332,7 @@
 
   void hangUp() {
     state_ = State::HangingUp;
+    server_.door_.end(place_, now());
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     limit(Clock::now() + kLinger);
@@ -347,9 +358,7 @@
   http::response<http::string_body> response_;
   RequestId request_ = 0;
   std::uint64_t trace_ = 0;
-  std::list<Session*>* list_ = nullptr;  // the server's that it stands in, since then, and where
-  std::list<Session*>::iterator place_;
-  Clock::time_point since_;
+  const admission::Door::Place place_;
   State state_ = State::Idle;
   bool keepAlive_ = true;
   bool watching_ = false;
@@ -361,7 +370,7 @@
       callbacks_(std::move(callbacks)),
       acceptor_(io),
       timer_(io),
-      maxSessions_(static_cast<std::size_t>(kClientShare * static_cast<double>(config.sockets))) {
+      door_(doorSettings(config)) {
   acceptor_.open(config.listen.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
   acceptor_.bind(config.listen);
@@ -373,7 +382,8 @@
 Server::~Server() = default;
 
 void Server::accept() {
-  if (sessions_.size() >= maxSessions_ && !makeRoom()) return acceptLater();
+  if (!acceptor_.is_open()) return;
+  if (door_.full() && !makeRoom()) return acceptLater();
   acceptor_.async_accept([this](error_code error, tcp::socket socket) {
     if (!acceptor_.is_open()) return;
     if (!error) {
@@ -381,35 +391,51 @@
     } else if (error != asio::error::connection_aborted) {
       // Guards against a loop that spins when descriptors have run out.
       makeRoom();
-      return acceptLater();
+      timer_.expires_after(kAcceptPause);
+      return waitForRoom();
     }
     accept();
   });
 }
 
+// Until a connection closes, or one may give way by the time that it has been silent or idle.
 void Server::acceptLater() {
-  timer_.expires_after(kAcceptPause);
+  const Micros time = now();
+  timer_.expires_after(std::chrono::microseconds(door_.nextCandidateAt(time) - time));
+  waitForRoom();
+}
+
+void Server::waitForRoom() {
+  waitsForRoom_ = true;
   timer_.async_wait([this](error_code cancelled) {
-    if (!cancelled) accept();
+    if (!cancelled && std::exchange(waitsForRoom_, false)) accept();
   });
 }
 
+void Server::roomMade() {
+  if (!waitsForRoom_ || door_.full()) return;
+  waitsForRoom_ = false;
+  timer_.cancel();
+  accept();
+}
+
 void Server::admit(tcp::socket socket) {
-  const auto session = std::make_shared<Session>(*this, std::move(socket));
-  sessions_.insert(session);
+  // Guards the core against those that gave up while they stood in the kernel's queue: nobody reads an
+  // answer.
+  if (admission::peerHasLeft(socket.native_handle())) return;
+  const auto place = door_.enter(++lastVisitor_, now());
+  const auto session = std::make_shared<Session>(*this, std::move(socket), place);
+  sessions_.emplace(place->id, session);
   session->start();
 }
 
 // Guards against clients that hold connections and don't use them.
 bool Server::makeRoom() {
-  const auto now = Clock::now();
-  for (const auto& [list, keep] : {std::pair(&silent_, kKeepSilent), std::pair(&idle_, kKeepIdle)}) {
-    for (Session* const session : *list) {
-      if (now - session->since() < keep) break;
-      if (!session->quiet()) continue;
-      session->close();
-      return true;
-    }
+  for (const auto visitor : door_.candidates(now())) {
+    const auto session = sessions_.at(visitor);
+    if (!session->givesWay()) continue;
+    session->close();
+    return true;
   }
   return false;
 }
@@ -447,7 +473,7 @@
   return most > 0 && open_.size() >= most;
 }
 
-std::variant<ClientRequest, Answer> Server::check(Message message) {
+std::variant<ClientRequest, Answer> Server::check(Message message, milliseconds unread) {
   toOriginForm(message);
   const std::string_view target(message.target().data(), message.target().size());
   const std::string_view path = target.substr(0, target.find('?'));
@@ -486,8 +512,8 @@
   const auto expires = toNumber<std::int64_t>(header(message, "X-Expires-In-Ms").value_or(""));
   if (!expires || *expires < 0 || *expires > kMaxExpiresInMs)
     return plain(400, "X-Expires-In-Ms is missing or no time in milliseconds");
-  request.expiresIn = *expires * 1000;
-  request.deadline = Clock::now() + milliseconds(*expires);
+  request.expiresIn = std::max<Micros>(0, (*expires - unread.count()) * 1000);
+  request.deadline = Clock::now() + std::chrono::microseconds(request.expiresIn);
 
   const auto customer = header(message, "X-Customer");
   if (!site.tenants.empty()) {
@@ -501,7 +527,9 @@
   }
   if (parts.size() > 1) request.key = orchiddrum::identity(parts.back());
   request.resent = header(message, "X-Second-Try").value_or("") == "1";
-  if (full()) return plain(503, "too many open requests");
+  if (unread > milliseconds(0) && request.expiresIn == 0)
+    return plain(503, "its time was over when it was read");
+  if (full() || !door_.mayWork()) return plain(503, "too many open requests");
   request.id = ++lastId_;
   request.message = std::make_shared<const Message>(std::move(message));
   return request;
@@ -512,15 +540,15 @@
   stopping_ = true;
   stopped_ = std::move(stopped);
   // A client whose request crosses this sends it once more on a new connection, which is still taken.
-  const auto idle = idle_;
-  for (Session* const session : idle) {
-    if (session->quiet()) session->close();
+  const auto sessions = sessions_;
+  for (const auto& [id, session] : sessions) {
+    if (session->answered() && session->quiet()) session->close();
   }
-  const auto now = Clock::now();
-  const auto wait = std::make_shared<asio::steady_timer>(io_, now + kAcceptAfterStop);
-  wait->async_wait([this, wait, now](error_code) {
+  const auto from = Clock::now();
+  const auto wait = std::make_shared<asio::steady_timer>(io_, from + kAcceptAfterStop);
+  wait->async_wait([this, wait, from](error_code) {
     closeAcceptor();
-    finish(Clock::now() + kLinger, now + kStopWithin);
+    finish(Clock::now() + kLinger, from + kStopWithin);
   });
 }
 
@@ -535,13 +563,14 @@
   }
   error_code ignored;
   acceptor_.close(ignored);
+  waitsForRoom_ = false;
 }
 
 void Server::finish(Clock::time_point lingerUntil, Clock::time_point stopBy) {
-  const auto now = Clock::now();
+  const auto time = Clock::now();
   const bool allIdle =
-      std::all_of(sessions_.begin(), sessions_.end(), [](const auto& s) { return s->idle(); });
-  if ((allIdle && now >= lingerUntil) || now >= stopBy) {
+      std::all_of(sessions_.begin(), sessions_.end(), [](const auto& one) { return one.second->idle(); });
+  if ((allIdle && time >= lingerUntil) || time >= stopBy) {
     const auto left = std::exchange(open_, {});
     for (const auto& [id, session] : left) session->write(plain(504, "stopping"));
     return stopped_();
--- a/src/sidecar/server.h
+++ b/src/sidecar/server.h
@@ -11,7 +11,6 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -20,11 +19,12 @@
 #include <utility>
 #include <variant>
 
+#include "admission/door.h"
+#include "clock.h"
 #include "config.h"
 
 namespace ivypost {
 
-using Clock = std::chrono::steady_clock;
 using Message = boost::beast::http::request<boost::beast::http::string_body>;
 
 // A request that passed all checks.
@@ -77,6 +77,8 @@
   void admit(boost::asio::ip::tcp::socket socket);
   bool makeRoom();
   void acceptLater();
+  void waitForRoom();
+  void roomMade();
   void closeAcceptor();
   // The request is over. False if it was before.
   bool endRequest(const Session& session);
@@ -84,7 +86,8 @@
   void finish(Clock::time_point lingerUntil, Clock::time_point stopBy);
 
   // What the request reads as, or the answer it gets at once.
-  std::variant<ClientRequest, Answer> check(Message message);
+  // `unread`: since its last byte came.
+  std::variant<ClientRequest, Answer> check(Message message, std::chrono::milliseconds unread);
   Answer plain(unsigned status, std::string text) const;
   bool full() const;
 
@@ -93,11 +96,12 @@
   Callbacks callbacks_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer timer_;
-  std::size_t maxSessions_;
+  admission::Door door_;
+  bool waitsForRoom_ = false;  // accepting does
   bool stopping_ = false;
   std::function<void()> stopped_;
-  std::unordered_set<std::shared_ptr<Session>> sessions_;
-  std::list<Session*> silent_, idle_;  // that have sent nothing yet, and between requests; the longest first
+  admission::VisitorId lastVisitor_ = 0;
+  std::unordered_map<admission::VisitorId, std::shared_ptr<Session>> sessions_;
   orchiddrum::RequestId lastId_ = 0;
   std::unordered_map<orchiddrum::RequestId, std::shared_ptr<Session>> open_;
   std::unordered_set<std::uint64_t> traces_;  // X-Trace-Ids that are open or were lately
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -20,11 +20,6 @@
 // A repeat is written this long before its window ends at the latest: it has to arrive within it.
 constexpr microseconds kWindowMargin{10'000};
 
-// The module's clock: monotonic microseconds.
-Micros now() {
-  return duration_cast<microseconds>(Clock::now().time_since_epoch()).count();
-}
-
 Micros unixNow() {
   return duration_cast<microseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
--- a/src/sidecar/upstreams.h
+++ b/src/sidecar/upstreams.h
@@ -18,11 +18,11 @@
 #include <utility>
 #include <vector>
 
+#include "clock.h"
 #include "config.h"
 
 namespace ivypost {
 
-using Clock = std::chrono::steady_clock;
 using Message = boost::beast::http::request<boost::beast::http::string_body>;
 
 struct AttemptId {
