--- a/include/orchiddrum/balancer.h
+++ b/include/orchiddrum/balancer.h
@@ -190,8 +190,15 @@
 
 struct TimerDue {};
 
+// Takes away from what the settings allow, until the next such event; the default takes nothing. For a
+// sidecar that is itself short of something.
+struct ReducedService {
+  bool secondCopies = true;  // a second attempt beside one that is out
+  double probes = 1;         // the part of the usual probes; 0 to 1, others are brought into range
+};
+
 using Event = std::variant<MembershipUpdate, NewRequest, AttemptStarted, AttemptOutcome, Withdrawn,
-                           ProbeResult, TimerDue>;
+                           ProbeResult, TimerDue, ReducedService>;
 
 // ---- Actions --------------------------------------------------------------------------------------------
 
--- a/src/admission/door.h
+++ b/src/admission/door.h
@@ -54,6 +54,10 @@
   using Place = std::list<Visitor>::iterator;
 
   explicit Door(const DoorSettings& settings) : settings_(settings) {}
+  // Whoever is inside stays.
+  void adopt(const DoorSettings& settings) { settings_ = settings; }
+
+  std::size_t places() const { return settings_.places; }
 
   bool full() const { return taken_ >= settings_.places; }
   std::size_t taken() const { return taken_; }
@@ -87,7 +91,7 @@
   std::list<Visitor>& of(State state) { return lists_[static_cast<std::size_t>(state)]; }
   void move(Place place, State state, Micros now);
 
-  const DoorSettings settings_;
+  DoorSettings settings_;
   std::array<std::list<Visitor>, 4> lists_;  // by state, the longest in it first
   std::size_t taken_ = 0;
 };
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -363,7 +363,7 @@
                                     [](const Attempt& attempt) { return attempt.mayHaveRun; });
     may.fail = true;
     may.send = now_ < request.deadline && request.attempts.size() < settings_.maxAttempts &&
-               (request.out == 0 || settings_.secondCopies) &&
+               (request.out == 0 || (settings_.secondCopies && reduced_.secondCopies)) &&
                (!isCharged(request) || budget_.left(settings_, now_));
     if (first == request.attempts.end() || cls.semantics == Semantics::Idempotent) {
       may.refuse = true;
@@ -842,7 +842,7 @@
     const std::vector<UpstreamId>& choice = eligible(request, may);
     if (!choice.empty()) {
       const UpstreamId to = pick(choice, request);
-      if (looks_ && blind_ && request.looks < looksFor(request)) {
+      if (looks_ && blind_ && request.looks < looksFor(request) && mayLook()) {
         look(id, request, to);
       } else {
         send(id, request, to);
@@ -987,6 +987,19 @@
 
   // ---- Looks ----------------------------------------------------------------------------------------------
 
+  void on(const ReducedService& event) {
+    reduced_ = event;
+    reduced_.probes = within(event.probes, 0, 1);
+  }
+
+  // Under reduced service one look in so many, evenly.
+  bool mayLook() {
+    lookCredit_ = std::min(1.0, lookCredit_ + reduced_.probes);
+    if (lookCredit_ < 1) return false;
+    lookCredit_ -= reduced_.probes < 1 ? 1 : 0;
+    return true;
+  }
+
   // Own counts tell nothing when others send too and hardly any upstream has an own request in flight. Those
   // that a jam keeps there do not count: they tell no more of the others.
   bool seesLittle() const {
@@ -1205,6 +1218,8 @@
   }
 
   Settings settings_;
+  ReducedService reduced_;
+  double lookCredit_ = 0;
   std::mt19937_64 random_;
   Micros now_ = 0;
   bool started_ = false;
--- a/src/configfile/table.cpp
+++ b/src/configfile/table.cpp
@@ -188,6 +188,22 @@
   return numbers;
 }
 
+std::vector<std::string> Table::texts(std::string_view key, std::size_t most) {
+  const toml::node* const node = find(key);
+  std::vector<std::string> words;
+  if (node == nullptr) return words;
+  const auto* const list = node->as_array();
+  if (list == nullptr) fail(key, shown(*node) + " stands where a list of texts belongs");
+  for (const toml::node& item : *list) {
+    const auto* const word = item.as_string();
+    if (word == nullptr) fail(key, shown(item) + " in the list is no text; it stands in quotes");
+    words.push_back(word->get());
+  }
+  if (words.size() > most)
+    fail(key, "the list has " + std::to_string(words.size()) + " texts; " + range<std::size_t>(0, most));
+  return words;
+}
+
 std::optional<Table> Table::table(std::string_view key) {
   const toml::node* const node = find(key);
   if (node == nullptr) return std::nullopt;
--- a/src/configfile/table.h
+++ b/src/configfile/table.h
@@ -51,6 +51,8 @@
   // One integer, or a list of up to `most`; empty when missing.
   std::vector<std::int64_t> integers(std::string_view key, std::int64_t low, std::int64_t high,
                                      std::size_t most);
+  // A list of up to `most` texts; empty when missing.
+  std::vector<std::string> texts(std::string_view key, std::size_t most);
   std::optional<Table> table(std::string_view key);
   // A list of up to `most` tables; empty when missing.
   std::vector<Table> tables(std::string_view key, std::size_t most);
--- a/src/levels/ladder.cpp
+++ b/src/levels/ladder.cpp
@@ -106,6 +106,14 @@
 Ladder::Ladder(const Settings& settings, Micros now)
     : settings_(settings), now_(now), changedAt_(now - settings.stepDown), calmNeeded_(settings.calm) {}
 
+void Ladder::adopt(const Settings& settings, Micros now) {
+  now_ = std::max(now_, now);
+  settings_ = settings;
+  asked_.fill(0);
+  calmSince_.reset();
+  calmNeeded_ = std::clamp(calmNeeded_, settings.calm, settings.maxCalm);
+}
+
 void Ladder::sample(Signal signal, double value, Micros now) {
   if (!std::isfinite(value) || value < 0) return;
   now_ = std::max(now_, now);
--- a/src/levels/ladder.h
+++ b/src/levels/ladder.h
@@ -96,6 +96,10 @@
   // Judges; at most one change a call. Call it every kTick or so, and after samples that matter.
   std::optional<Change> judge(Micros now);
 
+  // Takes over other, flawless settings. Level and smoothed signals stay; what the signals ask for is judged
+  // anew, from nothing, and a restoration waits for a whole calm.
+  void adopt(const Settings& settings, Micros now);
+
   Level level() const { return level_; }
   Micros since() const { return changedAt_; }
   double smoothed(Signal signal) const { return smoothed_.at(static_cast<std::size_t>(signal)).value; }
@@ -112,7 +116,7 @@
   std::optional<Change> reduce(Micros now);
   std::optional<Change> restore(Micros now, std::size_t wanted);
 
-  const Settings settings_;
+  Settings settings_;
   std::array<Smoothed, kSignals> smoothed_;
   std::array<std::size_t, kSignals> asked_{};  // the level that each signal asks for
   Level level_ = Level::Normal;
--- /dev/null
+++ b/src/levels/monitor.cpp
@@ -0,0 +1,61 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+#include "levels/monitor.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ivypost::levels {
+
+void Monitor::Part::decay(Micros now) {
+  if (now <= at) return;
+  const double kept = std::exp(-static_cast<double>(now - at) / kConstant);
+  at = now;
+  some *= kept;
+  all *= kept;
+}
+
+void Monitor::Part::count(bool one, Micros now) {
+  decay(now);
+  all += 1;
+  if (one) some += 1;
+}
+
+double Monitor::Part::value(Micros now) {
+  decay(now);
+  return all < kLeast ? 0 : std::min(1.0, some / all);
+}
+
+Monitor::Monitor(const Settings& settings, double cores, Micros now)
+    : cores_(cores), ladder_(settings, now), tickedAt_(now) {}
+
+void Monitor::requestCame(bool resent, Micros now) {
+  resent_.count(resent, now);
+}
+
+void Monitor::attemptEnded(bool bad, Micros now) {
+  bad_.count(bad, now);
+}
+
+std::optional<Change> Monitor::tick(const Gauges& gauges, Micros now) {
+  const Micros passed = now - tickedAt_;
+  if (processor_ && passed > 0) {
+    const auto used = static_cast<double>(gauges.processor - *processor_);
+    ladder_.sample(Signal::CpuShare, used / static_cast<double>(passed) / cores_, now);
+  }
+  processor_ = gauges.processor;
+  tickedAt_ = std::max(now, tickedAt_);
+  ladder_.sample(Signal::LoopLag, static_cast<double>(gauges.late), now);
+  ladder_.sample(Signal::OpenShare, gauges.openShare, now);
+  ladder_.sample(Signal::DescriptorShare, gauges.busyPlaces, now);
+  ladder_.sample(Signal::BadShare, bad_.value(now), now);
+  ladder_.sample(Signal::OverShare, gauges.beyondShare, now);
+  ladder_.sample(Signal::RetryShare, resent_.value(now), now);
+  ladder_.sample(Signal::ListAge, static_cast<double>(gauges.listAge), now);
+  return ladder_.judge(now);
+}
+
+void Monitor::adopt(const Settings& settings, Micros now) {
+  ladder_.adopt(settings, now);
+}
+
+}  // namespace ivypost::levels
--- /dev/null
+++ b/src/operator/file.h
@@ -0,0 +1,51 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// The operator's own file: what the platform does not set, in TOML. One table of keys (keys.cpp) is the
+// schema, the reader and the commented example at once. Without a file everything is as if this room were not
+// there.
+#ifndef IVYPOST_OPERATOR_FILE_H_
+#define IVYPOST_OPERATOR_FILE_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "admission/door.h"
+#include "admission/queue.h"
+#include "levels/ladder.h"
+
+namespace ivypost::op {
+
+// As an empty file gives it: all off, and each figure at its default.
+struct File {
+  struct Levels {
+    bool on = false;
+    levels::Settings ladder = levels::defaultSettings();
+  } levels;
+  struct Admission {
+    bool queue = false;
+    admission::QueueSettings figures;
+    std::vector<std::string> order;  // classes, the worthiest first; those not named follow by their worth
+    std::int64_t perTurn = 8;        // requests handed on before the loop sees to all else that is ready
+  } admission;
+  struct Door {
+    double keepAny = admission::DoorSettings{}.keepAny;
+    double keepUsed = admission::DoorSettings{}.keepUsed;
+    double work = admission::DoorSettings{}.work;
+  } door;
+  struct Status {
+    bool level = false;  // GET /status/level on the listening address
+  } status;
+};
+
+// Both throw configfile::Error, one line that names the file, the line, the key and what is allowed.
+File read(const std::string& path);
+File parse(std::string_view text, const std::string& name);
+
+// The file with all keys at their defaults, each under a comment that says what it does; parses as an empty
+// one.
+std::string example();
+
+}  // namespace ivypost::op
+
+#endif  // IVYPOST_OPERATOR_FILE_H_
--- /dev/null
+++ b/src/operator/keys.cpp
@@ -0,0 +1,223 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+#include "operator/keys.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+#include "configfile/units.h"
+
+namespace ivypost::op {
+namespace {
+
+using configfile::Table;
+using levels::Signal;
+
+// How far a threshold of a part of something may go, and the longest time that means anything here.
+constexpr double kMostPart = 10;
+constexpr std::int64_t kMostTime = 3'600'000'000;
+constexpr std::size_t kMostClasses = 64;
+
+template <class Value>
+using Field = Value& (*)(File&);
+
+template <class Value>
+Value valueOf(Field<Value> field, const File& file) {
+  File copy = file;
+  return field(copy);
+}
+
+std::string shown(double number) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.6g", number);
+  std::string digits = text.data();
+  return digits.find_first_of(".e") == std::string::npos ? digits + ".0" : digits;
+}
+
+std::string quoted(const std::string& text) {
+  std::string out(1, '"');
+  return out.append(text).append(1, '"');
+}
+
+std::string shownTime(std::int64_t micros) {
+  return quoted(configfile::formatDuration(micros));
+}
+
+Key flag(std::string path, std::string text, Field<bool> field) {
+  return {std::move(path), std::move(text),
+          [field](File& file, Table& table, std::string_view leaf) {
+            field(file) = table.flag(leaf, field(file));
+          },
+          [field](const File& file) { return valueOf(field, file) ? "true" : "false"; }};
+}
+
+Key part(std::string path, std::string text, double low, Field<double> field) {
+  return {std::move(path), std::move(text),
+          [field, low](File& file, Table& table, std::string_view leaf) {
+            field(file) = table.number(leaf, low, 1, field(file));
+          },
+          [field](const File& file) { return shown(valueOf(field, file)); }};
+}
+
+template <class Number>
+Key whole(std::string path, std::string text, std::int64_t low, std::int64_t high, Field<Number> field) {
+  return {std::move(path), std::move(text),
+          [field, low, high](File& file, Table& table, std::string_view leaf) {
+            const auto fallback = static_cast<std::int64_t>(field(file));
+            field(file) = static_cast<Number>(table.integer(leaf, low, high, fallback));
+          },
+          [field](const File& file) { return std::to_string(valueOf(field, file)); }};
+}
+
+std::int64_t readTime(Table& table, std::string_view leaf, std::int64_t low) {
+  const std::int64_t micros = table.duration(leaf);
+  if (micros < low || micros > kMostTime)
+    table.fail(leaf, "out of range; allowed is " + configfile::formatDuration(low) + " to 1h");
+  return micros;
+}
+
+Key time(std::string path, std::string text, std::int64_t low, Field<std::int64_t> field) {
+  return {std::move(path), std::move(text),
+          [field, low](File& file, Table& table, std::string_view leaf) {
+            if (table.has(leaf)) field(file) = readTime(table, leaf, low);
+          },
+          [field](const File& file) { return shownTime(valueOf(field, file)); }};
+}
+
+bool isTime(Signal signal) {
+  return signal == Signal::LoopLag || signal == Signal::ListAge;
+}
+
+std::string keyOf(Signal signal) {
+  std::string name = nameOf(signal);
+  std::replace(name.begin(), name.end(), ' ', '_');
+  return name;
+}
+
+Key smoothing(Signal signal) {
+  const auto n = static_cast<std::size_t>(signal);
+  return {"levels.smoothing." + keyOf(signal), "",
+          [n](File& file, Table& table, std::string_view leaf) {
+            if (table.has(leaf)) file.levels.ladder.smoothing.at(n) = readTime(table, leaf, 0);
+          },
+          [n](const File& file) { return shownTime(file.levels.ladder.smoothing.at(n)); }};
+}
+
+Key threshold(levels::Level level, Signal signal) {
+  const auto at = [=](auto& file) -> auto& {
+    return file.levels.ladder.thresholds.at(static_cast<std::size_t>(level) - 1)
+        .at(static_cast<std::size_t>(signal));
+  };
+  return {"levels." + std::string(nameOf(level)) + "." + keyOf(signal), "",
+          [=](File& file, Table& table, std::string_view leaf) {
+            if (table.isText(leaf)) {
+              table.choice(leaf, {"never"});
+              at(file).reset();
+              return;
+            }
+            auto pair = table.table(leaf);
+            if (!pair) return;
+            levels::Threshold one;
+            for (const auto& [name, value] : {std::pair("enter", &one.enter), std::pair("exit", &one.exit)}) {
+              *value = isTime(signal) ? static_cast<double>(readTime(*pair, name, 0))
+                                      : pair->number(name, 0, kMostPart);
+            }
+            pair->finish();
+            at(file) = one;
+          },
+          [=](const File& file) -> std::string {
+            const auto& one = at(file);
+            if (!one) return {};
+            const auto value = [&](double number) {
+              return isTime(signal) ? shownTime(static_cast<std::int64_t>(number)) : shown(number);
+            };
+            return "{ enter = " + value(one->enter) + ", exit = " + value(one->exit) + " }";
+          }};
+}
+
+Key order() {
+  return {"admission.order",
+          "Classes in the order in which they are favoured under overload, the worthiest first. Those that\n"
+          "are not named follow in the order of the worth that the platform gives them.",
+          [](File& file, Table& table, std::string_view leaf) {
+            file.admission.order = table.texts(leaf, kMostClasses);
+            auto sorted = file.admission.order;
+            std::sort(sorted.begin(), sorted.end());
+            if (std::adjacent_find(sorted.begin(), sorted.end()) != sorted.end())
+              table.fail(leaf, "a class stands there twice");
+          },
+          [](const File& file) {
+            std::string list(1, '[');
+            for (const auto& name : file.admission.order)
+              list.append(list.size() == 1 ? "" : ", ").append(quoted(name));
+            return list.append(1, ']');
+          }};
+}
+
+std::vector<Key> build() {
+  std::vector<Key> all = {
+      flag("status.level",
+           "GET /status/level on the listening address: the level, its signals and what was refused.",
+           [](File& f) -> bool& { return f.status.level; }),
+      part("door.keep_any",
+           "An answer ends its connection when more than this part of the places for clients is taken ...", 0,
+           [](File& f) -> double& { return f.door.keepAny; }),
+      part("door.keep_used",
+           "... and up to this part not if its client has used it again within 2 s. 1: never.", 0,
+           [](File& f) -> double& { return f.door.keepUsed; }),
+      part("door.work", "With more than this part of the places at work, new requests are refused at once.",
+           0.05, [](File& f) -> double& { return f.door.work; }),
+      flag("admission.queue", "Requests queue for the core, and overload is told from a burst.",
+           [](File& f) -> bool& { return f.admission.queue; }),
+      order(),
+      whole<std::size_t>("admission.most",
+                         "Requests that wait at the most; the least worthy is refused beyond it.", 1, 65536,
+                         [](File& f) -> std::size_t& { return f.admission.figures.most; }),
+      part("admission.school_share", "The part of them that one school's may be.", 0.01,
+           [](File& f) -> double& { return f.admission.figures.schoolShare; }),
+      time("admission.target",
+           "Under overload what has waited longer is refused, but in the worthiest class ...", 1000,
+           [](File& f) -> std::int64_t& { return f.admission.figures.target; }),
+      time("admission.interval",
+           "... where it may wait so long. A queue that was not empty for so long is overload.", 1000,
+           [](File& f) -> std::int64_t& { return f.admission.figures.interval; }),
+      time("admission.answer_time", "With less of its time left than this, a request is refused.", 0,
+           [](File& f) -> std::int64_t& { return f.admission.figures.answerTime; }),
+      whole<std::int64_t>("admission.per_turn",
+                          "Requests handed on before the loop sees to everything else that is ready.", 1,
+                          1024, [](File& f) -> std::int64_t& { return f.admission.perTurn; }),
+      flag("levels.on", "The ladder of reduced service: normal, thrifty, protect, shed, cutoff.",
+           [](File& f) -> bool& { return f.levels.on; }),
+      time("levels.step_down", "Between two reductions of service.", 1000,
+           [](File& f) -> std::int64_t& { return f.levels.ladder.stepDown; }),
+      time("levels.calm",
+           "All signals below their exits for so long, before service is restored by one level.", 1000,
+           [](File& f) -> std::int64_t& { return f.levels.ladder.calm; }),
+      time("levels.max_calm", "The calm doubles up to this with each restoration that did not hold ...", 1000,
+           [](File& f) -> std::int64_t& { return f.levels.ladder.maxCalm; }),
+      time("levels.probation", "... for so long.", 1000,
+           [](File& f) -> std::int64_t& { return f.levels.ladder.probation; }),
+  };
+  for (std::size_t n = 0; n < levels::kSignals; ++n) all.push_back(smoothing(static_cast<Signal>(n)));
+  for (std::size_t level = 1; level < levels::kLevels; ++level) {
+    for (std::size_t n = 0; n < levels::kSignals; ++n)
+      all.push_back(threshold(static_cast<levels::Level>(level), static_cast<Signal>(n)));
+  }
+  return all;
+}
+
+}  // namespace
+
+std::string_view Key::section() const {
+  return std::string_view(path).substr(0, path.rfind('.'));
+}
+std::string_view Key::leaf() const {
+  return std::string_view(path).substr(path.rfind('.') + 1);
+}
+
+const std::vector<Key>& keys() {
+  static const std::vector<Key> kKeys = build();
+  return kKeys;
+}
+
+}  // namespace ivypost::op
--- a/src/sidecar/config.cpp
+++ b/src/sidecar/config.cpp
@@ -139,7 +139,11 @@
     config.listen = parseEndpoint(told(file, "listen", "GW_LISTEN"));
     config.discovery = parseEndpoint(told(file, "discovery", "GW_DISCOVERY"));
     config.seed = toSeed(file.at("seed").get<std::string>());
-    if (file.contains("limits")) config.sockets = file["limits"].value("sockets", config.sockets);
+    if (file.contains("limits")) {
+      config.sockets = file["limits"].value("sockets", config.sockets);
+      config.cores = file["limits"].value("cores", config.cores);
+      if (!(config.cores > 0)) bad("limits.cores has to be over 0:", file["limits"]["cores"].dump());
+    }
     if (file.contains("known")) config.known = toInstances(file["known"]);
     std::string line = "settings";
     const json& settings = file.at("settings");
--- a/src/sidecar/config.h
+++ b/src/sidecar/config.h
@@ -40,6 +40,7 @@
   std::string name;
   Endpoint listen, discovery;
   std::uint64_t seed = 0;
+  double cores = 1;            // of processor that the process may use
   std::size_t sockets = 1024;  // file descriptors that the process may hold
   InstanceList known;
   orchiddrum::Site site;
--- a/src/sidecar/discovery.cpp
+++ b/src/sidecar/discovery.cpp
@@ -1,6 +1,7 @@
 // Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
 #include "discovery.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -143,6 +144,12 @@
   callAfter(milliseconds(0));
 }
 
+std::chrono::microseconds Discovery::listAge() const {
+  if (!answeredAt_) return {};
+  const auto since = std::chrono::steady_clock::now() - *answeredAt_ - mayWait_;
+  return std::max(std::chrono::microseconds(0), std::chrono::duration_cast<std::chrono::microseconds>(since));
+}
+
 void Discovery::callAfter(milliseconds pause) {
   pause_.expires_after(pause);
   pause_.async_wait([this](error_code cancelled) {
@@ -156,6 +163,8 @@
   const bool whole = fetching_ || !generation_ || doubted_;
   const milliseconds wait = whole ? milliseconds(0) : pushed_ ? kPushedWait : kAskedWait;
   if (!whole) target += "?index=" + std::to_string(*generation_) + "&wait=" + std::to_string(wait.count());
+  // One that failed does not lengthen the time that the list may have.
+  if (!lost_) mayWait_ = wait;
   if (!connection_) connection_ = std::make_shared<Connection>(*this);
   connection_->call(target, wait + (pushed_ ? kPatience : kAskedPatience));
 }
@@ -177,6 +186,7 @@
     return callAfter(kAgain);
   }
   doubted_ = false;
+  answeredAt_ = std::chrono::steady_clock::now();
   if (std::exchange(lost_, false)) std::fprintf(stderr, "discovery is back\n");
   const bool news = fetching_ || list.whole || !list.instances.empty();
   fetching_ = false;
--- a/src/sidecar/discovery.h
+++ b/src/sidecar/discovery.h
@@ -33,6 +33,10 @@
   void watch();  // begins the watch
   void fetch();  // asks for the whole list once
 
+  // How long the list may have been out of date by now: since the last answer, less what the call that is out
+  // may wait for news. 0 until the first answer.
+  std::chrono::microseconds listAge() const;
+
   // Watches from now on at another address. Its generations are its own: the whole list is asked for, again
   // and again until it comes.
   void moveTo(const Endpoint& address);
@@ -52,6 +56,8 @@
   std::shared_ptr<Connection> connection_;
   std::optional<std::int64_t> generation_;  // none: the next call asks for the whole list
   const bool pushed_;                       // the address is an agent's, whose watch never ends
+  std::optional<std::chrono::steady_clock::time_point> answeredAt_;
+  std::chrono::milliseconds mayWait_{0};  // of the call that is out, or was last
   bool watching_ = false;
   bool fetching_ = false;
   bool lost_ = false;
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -1,22 +1,31 @@
 // Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
 //
-// Starts the sidecar, reads its configuration anew at SIGHUP, and ends it at SIGTERM or SIGINT.
+// Starts the sidecar, reads its configuration and the operator's file anew at SIGHUP, and ends it at SIGTERM
+// or SIGINT.
+#include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
 #include <exception>
 #include <functional>
+#include <string>
 
 #include "config.h"
+#include "operator/file.h"
 #include "sidecar.h"
 
 namespace {
 
+ivypost::op::File readFile(const std::string& path) {
+  return path.empty() ? ivypost::op::File{} : ivypost::op::read(path);
+}
+
 // Guards against a file that is half written or wrong: what the sidecar has stays.
-void reload(ivypost::Sidecar& sidecar) {
+void reload(ivypost::Sidecar& sidecar, const std::string& path) {
   try {
-    sidecar.reload(ivypost::readConfig());
+    const ivypost::Config config = ivypost::readConfig();
+    sidecar.reload(config, readFile(path));
   } catch (const std::exception& error) {
     std::fprintf(stderr, "the configuration stays as it was: %s\n", error.what());
   }
@@ -24,17 +33,27 @@
 
 }  // namespace
 
-int main() {
+int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
+  CLI::App app("A sidecar that passes an application's requests to booking nodes. Configured by GW_CONFIG.");
+  std::string path;
+  bool example = false;
+  app.add_option("--operator", path, "the operator's own file, in TOML");
+  app.add_flag("--operator-example", example, "prints that file with all keys at their defaults, and ends");
+  CLI11_PARSE(app, argc, argv);
   try {
+    if (example) {
+      std::fputs(ivypost::op::example().c_str(), stdout);
+      return 0;
+    }
     boost::asio::io_context io(1);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
-    ivypost::Sidecar sidecar(io, ivypost::readConfig());
+    ivypost::Sidecar sidecar(io, ivypost::readConfig(), readFile(path));
     const std::function<void()> listen = [&] {
       signals.async_wait([&](const boost::system::error_code& cancelled, int signal) {
         if (cancelled) return;
         if (signal == SIGHUP) {
-          reload(sidecar);
+          reload(sidecar, path);
         } else {
           sidecar.stop([&io] { io.stop(); });
         }
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -83,8 +83,11 @@
   return std::string_view(found->value().data(), found->value().size());
 }
 
-admission::DoorSettings doorSettings(const Config& config) {
+admission::DoorSettings doorSettings(const Config& config, const op::File& file) {
   admission::DoorSettings settings;
+  settings.keepAny = file.door.keepAny;
+  settings.keepUsed = file.door.keepUsed;
+  settings.work = file.door.work;
   const double places = kClientShare * static_cast<double>(config.sockets);
   settings.places = std::max<std::size_t>(1, static_cast<std::size_t>(places));
   return settings;
@@ -129,6 +132,7 @@
   }
 
   RequestId request() const { return request_; }
+  Clock::time_point arrivedAt() const { return arrivedAt_; }
   std::uint64_t trace() const { return trace_; }
 
   // Answers what the client has sent, and goes on or hangs up.
@@ -166,7 +170,7 @@
     server_.sessions_.erase(place_->id);
     server_.door_.leave(place_);
     server_.roomMade();
-    if (waiting && server_.endRequest(*this)) server_.callbacks_.over(request_);
+    if (waiting && server_.endRequest(*this)) server_.over(request_);
   }
 
  private:
@@ -250,6 +254,11 @@
             self->keepAlive_ = false;
             return self->write(self->server_.plain(flaw->status, flaw->why));
           }
+          if (auto refused = self->server_.refusesFromHead(self->parser_->get(), self->unreadFor())) {
+            self->keepAlive_ = self->parser_->is_done() && self->parser_->keep_alive();
+            self->timer_.cancel();
+            return self->write(std::move(*refused));
+          }
           if (self->parser_->is_done()) return self->onRead(error);
           if (expectsContinue(self->parser_->get()) && self->buffer_.size() == 0) return self->goOn();
           self->readBody();
@@ -301,6 +310,7 @@
     auto& request = std::get<ClientRequest>(checked);
     state_ = State::Waiting;
     request_ = request.id;
+    arrivedAt_ = request.arrived;
     trace_ = request.trace;
     server_.traces_.insert(trace_);
     server_.open_.emplace(request_, shared_from_this());
@@ -310,9 +320,9 @@
     timer_.async_wait([self = shared_from_this()](error_code cancelled) {
       if (cancelled || self->state_ != State::Waiting || !self->server_.endRequest(*self)) return;
       self->write(self->server_.plain(504, "no answer in time"));
-      self->server_.callbacks_.over(self->request_);
+      self->server_.over(self->request_);
     });
-    server_.callbacks_.taken(std::move(request));
+    server_.gate_.offer(std::move(request), !server_.door_.mayWork());
   }
 
   // How long a request that has been read now had stood unread: in the accept queue, or while the loop was
@@ -357,6 +367,7 @@
   std::optional<RequestHead> head_;  // as it came, while a chunked body is read
   http::response<http::string_body> response_;
   RequestId request_ = 0;
+  Clock::time_point arrivedAt_;
   std::uint64_t trace_ = 0;
   const admission::Door::Place place_;
   State state_ = State::Idle;
@@ -364,13 +375,19 @@
   bool watching_ = false;
 };
 
-Server::Server(asio::io_context& io, const Config& config, Callbacks callbacks)
+Server::Server(asio::io_context& io, const Config& config, const op::File& file, Callbacks callbacks)
     : io_(io),
       config_(config),
       callbacks_(std::move(callbacks)),
       acceptor_(io),
       timer_(io),
-      door_(doorSettings(config)) {
+      door_(doorSettings(config, file)),
+      gate_(io, config, file,
+            {[this](ClientRequest request) { callbacks_.taken(std::move(request)); },
+             [this](RequestId id, admission::Verdict why) {
+               answer(id, refusal(std::string("refused: ") + admission::nameOf(why)));
+             }}),
+      statusOn_(file.status.level) {
   acceptor_.open(config.listen.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
   acceptor_.bind(config.listen);
@@ -445,6 +462,7 @@
   if (found == open_.end()) return;
   const auto session = found->second;
   endRequest(*session);
+  if (gate_.queues() && answer.status == 200) gate_.served(now() - microsOf(session->arrivedAt()));
   session->write(std::move(answer));
 }
 
@@ -468,6 +486,39 @@
   return answer;
 }
 
+Answer Server::refusal(std::string text) const {
+  Answer answer = plain(503, std::move(text));
+  answer.retryAfter = gate_.comeAgain();
+  return answer;
+}
+
+double Server::openShare() const {
+  const std::uint32_t most = config_.site.settings.maxOpen;
+  return most == 0 ? 0 : static_cast<double>(open_.size()) / most;
+}
+
+void Server::over(RequestId id) {
+  if (!gate_.withdraw(id)) callbacks_.over(id);
+}
+
+void Server::adopt(const op::File& file) {
+  statusOn_ = file.status.level;
+  door_.adopt(doorSettings(config_, file));
+  gate_.adopt(file);
+}
+
+std::optional<Answer> Server::refusesFromHead(const Message& head, milliseconds unread) const {
+  if (!gate_.refusesFromHead()) return std::nullopt;
+  const auto qos = header(head, "X-Qos");
+  const auto named = qos ? config_.site.classes.find(*qos) : config_.site.classes.end();
+  const auto expires = toNumber<std::int64_t>(header(head, "X-Expires-In-Ms").value_or(""));
+  // Whatever is wrong with it gets its answer when it has been read.
+  if (named == config_.site.classes.end() || !expires || *expires < 0 || *expires > kMaxExpiresInMs)
+    return std::nullopt;
+  if (!gate_.hopeless(named->second, (*expires - unread.count()) * 1000)) return std::nullopt;
+  return refusal("refused: too late");
+}
+
 bool Server::full() const {
   const std::uint32_t most = config_.site.settings.maxOpen;
   return most > 0 && open_.size() >= most;
@@ -482,6 +533,12 @@
     if (!isGet) return plain(405, "GET only");
     return stopping_ ? plain(503, "stopping") : plain(200, "ready");
   }
+  if (statusOn_ && path == "/status/level") {
+    if (!isGet) return plain(405, "GET only");
+    Answer answer = plain(200, callbacks_.status());
+    answer.contentType = "application/json";
+    return answer;
+  }
   if (repeatsAHeader(message)) return plain(400, "a header stands there twice");
   const orchiddrum::Site& site = config_.site;
   const auto parts = orchiddrum::split(path.substr(path.empty() ? 0 : 1), '/');
--- a/src/sidecar/server.h
+++ b/src/sidecar/server.h
@@ -20,27 +20,13 @@
 #include <variant>
 
 #include "admission/door.h"
+#include "client_request.h"
 #include "clock.h"
 #include "config.h"
+#include "gate.h"
 
 namespace ivypost {
 
-using Message = boost::beast::http::request<boost::beast::http::string_body>;
-
-// A request that passed all checks.
-struct ClientRequest {
-  orchiddrum::RequestId id = 0;  // the server's own number, never given twice; a client's may come again
-  std::uint32_t requestClass = 0;
-  std::optional<std::uint32_t> tenant;
-  std::optional<std::uint64_t> key;
-  std::optional<Micros> work;
-  bool resent = false;
-  std::uint64_t trace = 0;  // the client's X-Trace-Id
-  Micros expiresIn = 0;
-  Clock::time_point deadline;
-  std::shared_ptr<const Message> message;
-};
-
 struct Answer {
   unsigned status = 502;
   std::string body;
@@ -54,10 +40,12 @@
     std::function<void(ClientRequest)> taken;
     // The client has left, or the deadline passed with no answer and the server gave one itself.
     std::function<void(orchiddrum::RequestId)> over;
+    // What GET /status/level answers, as JSON; asked only where the operator has switched it on.
+    std::function<std::string()> status;
   };
 
-  // Throws boost::system::system_error when it cannot listen.
-  Server(boost::asio::io_context& io, const Config& config, Callbacks callbacks);
+  // Throws boost::system::system_error when it cannot listen, and what Gate throws.
+  Server(boost::asio::io_context& io, const Config& config, const op::File& file, Callbacks callbacks);
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
   ~Server();
@@ -68,6 +56,14 @@
   // Takes what still comes for a while, answers all that was taken, then calls back once.
   void stop(std::function<void()> stopped);
 
+  // Takes the operator's file over; gate().check() has to have passed.
+  void adopt(const op::File& file);
+  Gate& gate() { return gate_; }
+  const Gate& gate() const { return gate_; }
+  const admission::Door& door() const { return door_; }
+  // Requests that are open, of the most that may be; 0 without a limit.
+  double openShare() const;
+
   std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
 
  private:
@@ -89,6 +85,10 @@
   // `unread`: since its last byte came.
   std::variant<ClientRequest, Answer> check(Message message, std::chrono::milliseconds unread);
   Answer plain(unsigned status, std::string text) const;
+  Answer refusal(std::string text) const;
+  // From the head alone: the refusal of a request whose body need not be read.
+  std::optional<Answer> refusesFromHead(const Message& head, std::chrono::milliseconds unread) const;
+  void over(orchiddrum::RequestId id);
   bool full() const;
 
   boost::asio::io_context& io_;
@@ -97,6 +97,8 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer timer_;
   admission::Door door_;
+  Gate gate_;
+  bool statusOn_;
   bool waitsForRoom_ = false;  // accepting does
   bool stopping_ = false;
   std::function<void()> stopped_;
--- /dev/null
+++ b/src/sidecar/service_level.h
@@ -0,0 +1,56 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// Carries the ladder of reduced service out: ticks, reads the gauges, logs each change and tells it. Off, it
+// has no timer and counts nothing.
+#ifndef IVYPOST_SERVICE_LEVEL_H_
+#define IVYPOST_SERVICE_LEVEL_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+
+#include "clock.h"
+#include "levels/monitor.h"
+#include "operator/file.h"
+
+namespace ivypost {
+
+class ServiceLevel {
+ public:
+  struct Callbacks {
+    // All but processor and lateness, which are looked up here.
+    std::function<levels::Gauges()> gauges;
+    std::function<void(levels::Level)> changed;
+  };
+
+  ServiceLevel(boost::asio::io_context& io, double cores, Callbacks callbacks);
+
+  // Begins, goes on with other figures at the level that it has, or ends at normal.
+  void adopt(const op::File::Levels& settings);
+
+  void requestCame(bool resent) {
+    if (monitor_) monitor_->requestCame(resent, now());
+  }
+  void attemptEnded(bool bad) {
+    if (monitor_) monitor_->attemptEnded(bad, now());
+  }
+
+  levels::Level level() const { return monitor_ ? monitor_->ladder().level() : levels::Level::Normal; }
+  // For whoever is awake: level, since when, and each signal.
+  nlohmann::json status() const;
+
+ private:
+  void tickLater();
+  void tick();
+
+  const double cores_;
+  Callbacks callbacks_;
+  boost::asio::steady_timer timer_;
+  std::optional<levels::Monitor> monitor_;  // none: off
+};
+
+}  // namespace ivypost
+
+#endif  // IVYPOST_SERVICE_LEVEL_H_
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
+#include <nlohmann/json.hpp>
 #include <utility>
 #include <variant>
 
@@ -30,7 +31,7 @@
 
 }  // namespace
 
-Sidecar::Sidecar(asio::io_context& io, Config config)
+Sidecar::Sidecar(asio::io_context& io, Config config, const op::File& file)
     : io_(io),
       config_(std::move(config)),
       unixToSteady_(now() - unixNow()),
@@ -47,13 +48,23 @@
                   [this] {
                     handle(MembershipUpdate{MembershipUpdate::Kind::Failed, {}});
                   }}),
-      server_(io, config_,
+      server_(io, config_, file,
               {[this](ClientRequest client) { onTaken(std::move(client)); },
-               [this](RequestId id) { onOver(id); }}) {
+               [this](RequestId id) { onOver(id); }, [this] { return status(); }}),
+      level_(io, config_.cores,
+             {[this] { return gauges(); }, [this](levels::Level level) { onLevel(level); }}) {
+  level_.adopt(file.levels);
   onList(config_.known, MembershipUpdate::Kind::Saved);
   if (!config_.site.settings.mustSubscribe) discovery_.watch();
 }
 
+void Sidecar::reload(const Config& config, const op::File& file) {
+  server_.gate().check(file);
+  discovery_.moveTo(config.discovery);
+  server_.adopt(file);
+  level_.adopt(file.levels);
+}
+
 // ---- Events -----------------------------------------------------------------------------------------------
 
 void Sidecar::handle(const orchiddrum::Event& event) {
@@ -73,6 +84,7 @@
   event.expiresIn = client.expiresIn;
   event.work = client.work;
   event.resent = client.resent;
+  level_.requestCame(client.resent);
   Request request;
   request.client = std::move(client);
   requests_.emplace(event.request, std::move(request));
@@ -99,6 +111,7 @@
   Attempt& attempt = request.attempts.at(end.id.number);
   attempt.mayHaveRun = !provesNeverRan(end.outcome);
   --request.out;
+  if (end.outcome != Outcome::Cancelled) level_.attemptEnded(end.outcome != Outcome::Ok);
   orchiddrum::AttemptOutcome event;
   event.request = end.id.request;
   event.attempt = end.id.number;
@@ -171,6 +184,34 @@
   handle(orchiddrum::TimerDue{});
 }
 
+void Sidecar::onLevel(levels::Level level) {
+  const levels::Effect effect = levels::effectOf(level);
+  server_.gate().reduce(effect);
+  handle(orchiddrum::ReducedService{effect.secondCopies, effect.probeShare});
+}
+
+levels::Gauges Sidecar::gauges() {
+  const auto& door = server_.door();
+  levels::Gauges gauges;
+  gauges.openShare = server_.openShare();
+  const auto working = static_cast<double>(door.count(admission::Door::State::Working));
+  gauges.busyPlaces = std::max(working / static_cast<double>(door.places()), upstreams_.busyShare());
+  gauges.beyondShare = server_.gate().beyondShare();
+  gauges.listAge = discovery_.listAge().count();
+  return gauges;
+}
+
+std::string Sidecar::status() const {
+  nlohmann::json status = level_.status();
+  status["name"] = config_.name;
+  status["waiting"] = server_.gate().waiting();
+  for (std::size_t n = 0; n < admission::kVerdicts; ++n) {
+    const auto verdict = static_cast<admission::Verdict>(n);
+    status["queue"][admission::nameOf(verdict)] = server_.gate().count(verdict);
+  }
+  return status.dump();
+}
+
 // ---- Actions ----------------------------------------------------------------------------------------------
 
 void Sidecar::carryOut(const orchiddrum::Send& send) {
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -17,21 +17,26 @@
 #include "config.h"
 #include "discovery.h"
 #include "server.h"
+#include "service_level.h"
 #include "upstreams.h"
 
 namespace ivypost {
 
 class Sidecar {
  public:
-  Sidecar(boost::asio::io_context& io, Config config);
+  // Throws orchiddrum::FormatError for an operator's file that does not fit the configuration, and what the
+  // server throws.
+  explicit Sidecar(boost::asio::io_context& io, Config config, const op::File& file = {});
 
-  // Takes over what may change while it runs: where discovery is. The rest waits for the next start.
-  void reload(const Config& config) { discovery_.moveTo(config.discovery); }
+  // Takes over what may change while it runs: where discovery is, and the operator's file. The rest waits for
+  // the next start. Throws orchiddrum::FormatError, and then nothing has changed.
+  void reload(const Config& config, const op::File& file);
 
   // Goes on taking requests for a while, answers all of them, then calls back.
   void stop(std::function<void()> stopped) { server_.stop(std::move(stopped)); }
 
   std::uint16_t port() const { return server_.port(); }
+  levels::Level level() const { return level_.level(); }
   std::size_t upstreamNumbers() const { return known_.size(); }  // in use and free; for tests
 
  private:
@@ -65,6 +70,9 @@
   void onProbed(const ProbeEnd& end);
   void onList(const InstanceList& list, orchiddrum::MembershipUpdate::Kind kind);
   void onTimer();
+  void onLevel(levels::Level level);
+  levels::Gauges gauges();
+  std::string status() const;
 
   // Gives the module one event and carries out what it answers.
   void handle(const orchiddrum::Event& event);
@@ -101,6 +109,7 @@
   Upstreams upstreams_;
   Discovery discovery_;
   Server server_;
+  ServiceLevel level_;
 };
 
 }  // namespace ivypost
--- a/src/sidecar/upstreams.cpp
+++ b/src/sidecar/upstreams.cpp
@@ -320,6 +320,14 @@
   return true;
 }
 
+double Upstreams::busyShare() const {
+  std::size_t idle = 0;
+  for (const auto& one : idle_) idle += one.size();
+  return maxConnections_ == 0
+             ? 0
+             : static_cast<double>(connections_.size() - idle) / static_cast<double>(maxConnections_);
+}
+
 void Upstreams::cancel(AttemptId id) {
   const auto found = attempts_.find(id);
   if (found == attempts_.end()) return;
--- a/src/sidecar/upstreams.h
+++ b/src/sidecar/upstreams.h
@@ -18,13 +18,12 @@
 #include <utility>
 #include <vector>
 
+#include "client_request.h"
 #include "clock.h"
 #include "config.h"
 
 namespace ivypost {
 
-using Message = boost::beast::http::request<boost::beast::http::string_body>;
-
 struct AttemptId {
   orchiddrum::RequestId request = 0;
   std::uint32_t number = 0;
@@ -76,6 +75,8 @@
   void closeIdle(UpstreamId upstream);
 
   std::size_t connections() const { return connections_.size(); }
+  // Connections that carry something, of the most that there may be.
+  double busyShare() const;
 
  private:
   class Connection;
--- /dev/null
+++ b/tests/admission/queue_test.cpp
@@ -0,0 +1,234 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+#include "admission/queue.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace ivypost::admission {
+namespace {
+
+constexpr Micros kMs = 1000;
+constexpr Micros kFar = 1'000'000'000;
+
+// Class 1 is worth most, as reserva-sala may stand anywhere in the settings.
+const std::vector<double> kWorth = {2, 5, 1};
+
+Waiting request(RequestId id, std::uint32_t cls, Micros arrived, bool beyond = false,
+                std::optional<std::uint32_t> school = std::nullopt, Micros deadline = kFar) {
+  return {id, cls, school, beyond, arrived, deadline};
+}
+
+std::vector<RequestId> handedOn(Queue& queue, Micros now) {
+  std::vector<RequestId> ids;
+  while (const auto decision = queue.next(now)) {
+    if (decision->verdict == Verdict::HandOn) ids.push_back(decision->id);
+  }
+  return ids;
+}
+
+TEST(Queue, GoesInTheOrderOfArrivalWhileTheCoreKeepsUp) {
+  Queue queue({}, kWorth);
+  // Read in another order than they came in.
+  queue.push(request(1, 0, 30), 100);
+  queue.push(request(2, 1, 20, true), 100);
+  queue.push(request(3, 2, 10), 100);
+  EXPECT_FALSE(queue.overloaded(100));
+  EXPECT_EQ(handedOn(queue, 100), (std::vector<RequestId>{3, 2, 1}));
+  EXPECT_EQ(queue.next(100), std::nullopt);
+}
+
+TEST(Queue, GoesByWorthWhenItIsTold) {
+  Queue queue({}, kWorth);
+  queue.worthFirst(true);
+  queue.push(request(1, 2, 0), 0);
+  queue.push(request(2, 1, 1, true), 0);
+  queue.push(request(3, 0, 2), 0);
+  queue.push(request(4, 1, 3), 0);
+  queue.push(request(5, 1, 4), 0);
+  // Within shares by worth and in the order of arrival, then beyond them.
+  EXPECT_EQ(handedOn(queue, 5), (std::vector<RequestId>{4, 5, 3, 1, 2}));
+}
+
+// A queue that never empties is overload: the last that came goes first, and whoever has waited for longer
+// than the target is refused, in the worthiest lane for longer than the interval.
+TEST(Queue, TellsOverloadFromABurst) {
+  const QueueSettings settings;
+  Queue queue(settings, kWorth);
+  queue.push(request(1, 1, 0), 0);
+  EXPECT_FALSE(queue.overloaded(settings.interval - 1));
+  EXPECT_TRUE(queue.overloaded(settings.interval));
+  queue.push(request(2, 1, settings.interval - 1), settings.interval);
+  queue.push(request(3, 0, settings.interval - settings.target - 1), settings.interval);
+  queue.push(request(4, 0, settings.interval - settings.target), settings.interval);
+  EXPECT_EQ(queue.next(settings.interval)->id, 3u);  // refused
+  EXPECT_EQ(handedOn(queue, settings.interval), (std::vector<RequestId>{2, 1, 4}));
+  // It was empty: no overload any more.
+  queue.push(request(5, 0, settings.interval), settings.interval + 1);
+  EXPECT_FALSE(queue.overloaded(settings.interval + 1));
+}
+
+TEST(Queue, RefusesTheWorthiestOnlyAfterTheInterval) {
+  const QueueSettings settings;
+  Queue queue(settings, kWorth);
+  queue.push(request(1, 1, 0), 0);
+  queue.push(request(2, 1, 1), 1);
+  const auto refused = queue.next(settings.interval + 1);
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->id, 1u);
+  EXPECT_EQ(refused->verdict, Verdict::Overload);
+  EXPECT_EQ(queue.next(settings.interval + 1)->verdict, Verdict::HandOn);
+}
+
+TEST(Queue, RefusesAtOnceWhatCannotBeInTime) {
+  const QueueSettings settings;
+  Queue queue(settings, kWorth);
+  queue.push(request(1, 1, 0, false, std::nullopt, 100 * kMs), 0);
+  queue.push(request(2, 1, 1, false, std::nullopt, 100 * kMs), 0);
+  EXPECT_EQ(queue.next(100 * kMs - settings.answerTime)->verdict, Verdict::HandOn);
+  EXPECT_EQ(queue.next(100 * kMs - settings.answerTime + 1)->verdict, Verdict::TooLate);
+}
+
+TEST(Queue, IsBoundedAndRefusesTheLeastWorthy) {
+  QueueSettings settings;
+  settings.most = 4;
+  settings.schoolShare = 1;
+  Queue queue(settings, kWorth);
+  EXPECT_FALSE(queue.push(request(1, 0, 0), 0));
+  EXPECT_FALSE(queue.push(request(2, 1, 0, true), 0));
+  EXPECT_FALSE(queue.push(request(3, 2, 0), 0));
+  EXPECT_FALSE(queue.push(request(4, 1, 0), 0));
+  const auto expect = [&](RequestId pushed, std::uint32_t cls, RequestId refused) {
+    const auto decision = queue.push(request(pushed, cls, pushed), 0);
+    ASSERT_TRUE(decision);
+    EXPECT_EQ(decision->id, refused);
+    EXPECT_EQ(decision->verdict, Verdict::QueueFull);
+    EXPECT_EQ(queue.size(), 4u);
+  };
+  expect(5, 1, 2);  // beyond its share, whatever its class
+  expect(6, 1, 3);
+  expect(7, 1, 1);
+  expect(8, 2, 8);  // itself
+  EXPECT_EQ(queue.evict()->id, 4u);
+  EXPECT_EQ(queue.size(), 3u);
+}
+
+TEST(Queue, BoundsWhatOneSchoolMayHold) {
+  QueueSettings settings;
+  settings.most = 10;
+  settings.schoolShare = 0.3;
+  Queue queue(settings, kWorth);
+  queue.push(request(1, 0, 0, false, 8), 0);
+  for (RequestId id = 2; id <= 4; ++id) EXPECT_FALSE(queue.push(request(id, 1, 1, false, 7), 0));
+  const auto refused = queue.push(request(5, 2, 1, false, 7), 0);
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->id, 5u);
+  EXPECT_EQ(refused->verdict, Verdict::SchoolFull);
+  // Room again when one of them has gone.
+  EXPECT_TRUE(queue.withdraw(2));
+  EXPECT_FALSE(queue.withdraw(2));
+  EXPECT_FALSE(queue.push(request(6, 2, 1, false, 7), 0));
+}
+
+// Strict order would starve what is worth less, as long as there is enough of what is worth more.
+TEST(Queue, StarvesNoClass) {
+  Queue queue({}, kWorth);
+  queue.worthFirst(true);
+  std::map<std::uint32_t, int> turns;
+  RequestId id = 0;
+  std::map<RequestId, std::uint32_t> classOf;
+  for (std::uint32_t cls : {0u, 2u}) {
+    for (int n = 0; n < 50; ++n) {
+      classOf[++id] = cls;
+      queue.push(request(id, cls, 0), 0);
+    }
+  }
+  for (int n = 0; n < 160; ++n) {
+    classOf[++id] = 1;
+    queue.push(request(id, 1, 0), 0);
+    const auto decision = queue.next(0);
+    ASSERT_EQ(decision->verdict, Verdict::HandOn);
+    ++turns[classOf[decision->id]];
+  }
+  EXPECT_EQ(turns[1], 140);
+  EXPECT_EQ(turns[0], 10);
+  EXPECT_EQ(turns[2], 10);
+}
+
+// A fifth of what comes can be handed on: the worthiest class hardly notices. Made-up time; a request a
+// millisecond, half of them of the worthiest class, five times what the core can do in all but 200 a second
+// for that class alone.
+TEST(Queue, FavoursTheWorthiestUnderOverload) {
+  Queue queue({}, kWorth);
+  std::map<RequestId, std::uint32_t> classOf;
+  std::map<std::uint32_t, int> came, served;
+  RequestId id = 0;
+  Micros waited = 0;
+  std::map<RequestId, Micros> arrived;
+  for (Micros now = 0; now < 10'000 * kMs; now += kMs) {
+    const std::uint32_t cls = id % 5 == 0 ? 1 : 0;  // 200 a second of the worthiest, 800 of another
+    classOf[++id] = cls;
+    arrived[id] = now;
+    ++came[cls];
+    queue.push(request(id, cls, now, false, std::nullopt, now + 500 * kMs), now);
+    if (now % (4 * kMs) != 0) continue;  // 250 a second are handed on
+    while (const auto decision = queue.next(now)) {
+      if (decision->verdict != Verdict::HandOn) continue;
+      ++served[classOf[decision->id]];
+      waited = std::max(waited, now - arrived[decision->id]);
+      break;
+    }
+  }
+  EXPECT_GE(served[1], came[1] * 95 / 100);
+  EXPECT_GE(served[0], 250);  // an eighth of the turns, of which there are 2,500
+  EXPECT_LE(waited, QueueSettings{}.interval);
+}
+
+// Whatever comes: each request gets exactly one decision, the bounds hold, and refuse or withdraw leaves
+// nothing.
+TEST(QueueProperty, OneDecisionEach) {
+  EXPECT_TRUE(rc::check("one decision each", [] {
+    QueueSettings settings;
+    settings.most = 6;
+    settings.schoolShare = 0.5;
+    Queue queue(settings, kWorth);
+    std::set<RequestId> inside;
+    RequestId last = 0;
+    Micros now = 0;
+    const auto decided = [&](const std::optional<Decision>& decision) {
+      if (!decision) return;
+      RC_ASSERT(inside.erase(decision->id) == 1u);
+    };
+    for (const auto& [what, cls, school, pause] :
+         *rc::gen::container<std::vector<std::tuple<int, int, int, int>>>(
+             rc::gen::tuple(rc::gen::inRange(0, 6), rc::gen::inRange(0, 3), rc::gen::inRange(0, 3),
+                            rc::gen::inRange(0, 90'000)))) {
+      now += pause;
+      if (what <= 2) {
+        inside.insert(++last);
+        decided(queue.push(request(last, static_cast<std::uint32_t>(cls), now - pause / 2, school == 2,
+                                   static_cast<std::uint32_t>(school), now + 3 * pause),
+                           now));
+      } else if (what == 3 && !inside.empty()) {
+        const RequestId id = *inside.begin();
+        RC_ASSERT(queue.withdraw(id));
+        inside.erase(id);
+      } else if (what == 4) {
+        decided(queue.evict());
+      } else {
+        decided(queue.next(now));
+      }
+      queue.worthFirst(pause % 2 == 0);
+      RC_ASSERT(queue.size() == inside.size() && queue.size() <= settings.most);
+    }
+    while (const auto decision = queue.next(now)) decided(decision);
+    RC_ASSERT(inside.empty());
+  }));
+}
+
+}  // namespace
+}  // namespace ivypost::admission
--- a/tests/e2e/reuse_test.cpp
+++ b/tests/e2e/reuse_test.cpp
@@ -180,7 +180,8 @@
 TEST_F(LyingDiscoveryTest, MovedElsewhere) {
   standins::Discovery other(world.io, world.ledger);
   other.put(world.discovery.entry("n2"));
-  world.sidecar->reload(world.movedDiscovery("127.0.0.1:" + std::to_string(other.listen("s1").port())));
+  world.sidecar->reload(world.movedDiscovery("127.0.0.1:" + std::to_string(other.listen("s1").port())),
+                        op::File{});
   ASSERT_TRUE(world.until([&] { return other.calls() >= 2; }));
   const auto arrivals = world.nodes[0]->arrivals();
   for (int n = 0; n < 10; ++n) EXPECT_TRUE(serves());
--- /dev/null
+++ b/tests/levels/service_level_test.cpp
@@ -0,0 +1,171 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// Reduced service in a whole sidecar, over loopback sockets.
+#include "sidecar_rig.h"
+
+namespace ivypost {
+namespace {
+
+using levels::Level;
+
+class ServiceLevelTest : public SidecarTest {
+ protected:
+  // A file that leads to this level and stays there: the core is always busier than nothing.
+  static op::File leadingTo(Level level) {
+    op::File file;
+    file.levels.on = file.admission.queue = file.status.level = true;
+    file.levels.ladder.stepDown = 1000;
+    for (std::size_t n = 0; n < levels::kLevels - 1; ++n) {
+      auto& thresholds = file.levels.ladder.thresholds.at(n);
+      thresholds.fill(std::nullopt);
+      if (n < static_cast<std::size_t>(level)) thresholds[0] = levels::Threshold{1e-12, 0};
+    }
+    return file;
+  }
+
+  void start(const op::File& file, const json& patch = json::object()) {
+    upstreams.push_back(std::make_unique<Peer>(io));
+    states.assign(1, "up");
+    config = configure(patch);
+    sidecar = std::make_unique<Sidecar>(io, config, file);
+    ASSERT_TRUE(wait([this] { return watches() > 0; }));
+  }
+
+  json status() {
+    const Client asking = client();
+    asking.send("GET /status/level HTTP/1.1\r\nHost: s\r\n\r\n");
+    EXPECT_TRUE(wait([&] { return asking.answers() == 1; }));
+    EXPECT_EQ(asking.answer(0).result_int(), 200u);
+    return json::parse(asking.answer(0).body());
+  }
+
+  void serveOne(const std::string& trace, const std::string& headers = "") {
+    const Client one = client();
+    Request request;
+    request.trace = trace;
+    request.headers = headers;
+    const auto before = arrived();
+    one.send(request.text());
+    ASSERT_TRUE(wait([&] { return arrived() > before; }));
+    upstreams[0]->requests.back().reply(200, "served");
+    ASSERT_TRUE(wait([&] { return one.answers() == 1; }));
+    EXPECT_EQ(one.answer(0).body(), "served");
+  }
+
+  Config config;
+};
+
+// Without the operator's word nothing of it is there.
+TEST_F(ServiceLevelTest, IsOffByItself) {
+  start(op::File{});
+  const Client asking = client();
+  asking.send("GET /status/level HTTP/1.1\r\nHost: s\r\n\r\n");
+  ASSERT_TRUE(wait([&] { return asking.answers() == 1; }));
+  EXPECT_EQ(asking.answer(0).result_int(), 404u);
+  EXPECT_EQ(sidecar->level(), Level::Normal);
+}
+
+// A reread that fails changes nothing, at each level; one that succeeds takes effect, and its end is normal.
+TEST_F(ServiceLevelTest, ABadFileAtSighupChangesNothingAtAnyLevel) {
+  start(leadingTo(Level::Normal));
+  for (std::size_t n = 0; n < levels::kLevels; ++n) {
+    const auto level = static_cast<Level>(n);
+    sidecar->reload(config, leadingTo(level));
+    ASSERT_TRUE(wait([&] { return sidecar->level() == level; })) << n;
+    op::File bad = leadingTo(Level::Normal);
+    bad.levels.on = bad.status.level = false;
+    bad.admission.order = {"cambio", "nosuch"};
+    try {
+      sidecar->reload(config, bad);
+      ADD_FAILURE() << "taken over";
+    } catch (const orchiddrum::FormatError& error) {
+      EXPECT_STREQ(error.what(), "admission.order names a class that the platform doesn't have: 'nosuch'");
+    }
+    EXPECT_EQ(sidecar->level(), level);
+    EXPECT_EQ(status()["level"], levels::nameOf(level));
+  }
+  op::File off = leadingTo(Level::Cutoff);
+  off.levels.on = false;
+  sidecar->reload(config, off);
+  EXPECT_EQ(sidecar->level(), Level::Normal);
+  serveOne("00000000000000a2");
+}
+
+TEST_F(ServiceLevelTest, IsVisible) {
+  start(leadingTo(Level::Protect));
+  ASSERT_TRUE(wait([&] { return sidecar->level() == Level::Protect; }));
+  serveOne("00000000000000a3", "X-Second-Try: 1\r\n");
+  const json seen = status();
+  EXPECT_EQ(seen["name"], "n1");
+  EXPECT_EQ(seen["on"], true);
+  EXPECT_GE(seen["for_ms"], 0);
+  EXPECT_EQ(seen["signals"].size(), levels::kSignals);
+  EXPECT_EQ(seen["queue"]["handed on"], 1);
+  EXPECT_EQ(seen["waiting"], 0);
+}
+
+// At shed, what can't be served in time is refused from its head: its body is never read. One that can is
+// read.
+TEST_F(ServiceLevelTest, ShedRefusesFromTheHead) {
+  start(leadingTo(Level::Shed));
+  ASSERT_TRUE(wait([&] { return sidecar->level() == Level::Shed; }));
+  serveOne("00000000000000a4");
+  Request late;
+  late.trace = "00000000000000a5";
+  late.expiresInMs = 0;
+  late.body = std::string(1000, 'x');
+  const std::string text = late.text();
+  const Client refused = client();
+  refused.send(text.substr(0, text.find("\r\n\r\n") + 4));
+  ASSERT_TRUE(wait([&] { return refused.answers() == 1; }));
+  EXPECT_EQ(refused.answer(0).result_int(), 503u);
+  EXPECT_FALSE(refused.answer(0).keep_alive());
+  EXPECT_EQ(arrived(), 1u);
+}
+
+// At cutoff only the class is taken that the operator put first; the others are told when to come again,
+// where the platform allows that.
+TEST_F(ServiceLevelTest, CutoffTakesTheWorthiestClassOnly) {
+  op::File file = leadingTo(Level::Cutoff);
+  file.admission.order = {"cambio"};
+  start(file, {{"settings", {{"limits", {{"retryAfter", true}, {"maxRetryAfter", 60'000}}}}}});
+  ASSERT_TRUE(wait([&] { return sidecar->level() == Level::Cutoff; }));
+  serveOne("00000000000000a6");
+  Request other;
+  other.trace = "00000000000000a7";
+  other.qos = "consulta";
+  other.method = "GET";
+  other.body = "";
+  const Client refused = client();
+  refused.send(other.text());
+  ASSERT_TRUE(wait([&] { return refused.answers() == 1; }));
+  EXPECT_EQ(refused.answer(0).result_int(), 503u);
+  EXPECT_EQ(refused.answer(0)["Retry-After"], "0.060");
+}
+
+// A client that leaves while its request waits for the core costs no node anything, and a reread that ends
+// the queue hands on what waits.
+TEST_F(ServiceLevelTest, TheQueueLosesNothing) {
+  op::File file = leadingTo(Level::Protect);
+  file.admission.perTurn = 1;
+  start(file);
+  upstreams[0]->onRequest = [](Peer::Exchange& exchange) { exchange.reply(200, "served"); };
+  std::vector<Client> all;
+  for (int n = 0; n < 60; ++n) {
+    all.push_back(client());
+    Request request;
+    request.trace = "00000000000001" + std::to_string(10 + n);
+    all.back().send(request.text());
+  }
+  for (std::size_t n = 0; n < all.size(); n += 3) all[n].close();
+  file.admission.queue = false;
+  asio::post(io, [&] { sidecar->reload(config, file); });
+  for (std::size_t n = 0; n < all.size(); ++n) {
+    if (n % 3 == 0) continue;
+    ASSERT_TRUE(wait([&] { return all[n].answers() == 1; })) << n;
+  }
+  EXPECT_EQ(status()["waiting"], 0);
+}
+
+}  // namespace
+}  // namespace ivypost
--- /dev/null
+++ b/tests/operator/file_test.cpp
@@ -0,0 +1,103 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+#include "operator/file.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "configfile/table.h"
+#include "operator/keys.h"
+
+namespace ivypost::op {
+namespace {
+
+std::string errorOf(const std::string& text) {
+  try {
+    parse(text, "op.toml");
+  } catch (const configfile::Error& error) {
+    return error.what();
+  }
+  return "";
+}
+
+// The table of keys is schema, reader and example at once: what the example shows is what an empty file
+// gives.
+TEST(OperatorFile, TheExampleIsTheDefault) {
+  const File empty = parse("", "empty"), file = parse(example(), "example");
+  for (const Key& key : keys()) EXPECT_EQ(key.show(file), key.show(empty)) << key.path;
+  EXPECT_FALSE(empty.levels.on || empty.admission.queue || empty.status.level);
+}
+
+// Every key of the table is read: writing another value shows it.
+TEST(OperatorFile, EachKeyIsRead) {
+  const File defaults;
+  std::set<std::string> paths;
+  for (const Key& key : keys()) {
+    EXPECT_TRUE(paths.insert(key.path).second) << key.path;
+    const std::string old = key.show(defaults);
+    std::string value;
+    if (old == "true" || old == "false")
+      value = old == "true" ? "false" : "true";
+    else if (old.empty())
+      continue;  // a threshold that is there only when the ones below are
+    else if (old.front() == '[')
+      value = "[\"a\", \"b\"]";
+    else if (old.front() == '{')
+      continue;  // tested below
+    else if (old.front() == '"')
+      value = "\"123ms\"";
+    else
+      value = old.find('.') == std::string::npos ? "77" : "0.85";
+    // The few that are bound to another are moved along with it.
+    std::string text =
+        "[" + std::string(key.section()) + "]\n" + std::string(key.leaf()) + " = " + value + "\n";
+    if (key.path == "door.keep_any") text += "keep_used = 0.9\n";
+    if (key.path == "admission.target") text += "interval = \"200ms\"\n";
+    if (key.path == "levels.max_calm") text += "calm = \"100ms\"\n";
+    EXPECT_EQ(key.show(parse(text, "op.toml")), value) << key.path;
+  }
+}
+
+TEST(OperatorFile, ReadsThresholds) {
+  const File file = parse(
+      "[levels.thrifty]\nloop_lag = { enter = \"30ms\", exit = \"10ms\" }\n"
+      "list_age = \"never\"\n",
+      "op.toml");
+  const auto& thrifty = file.levels.ladder.thresholds[0];
+  EXPECT_EQ(thrifty[static_cast<std::size_t>(levels::Signal::LoopLag)]->enter, 30'000);
+  EXPECT_EQ(thrifty[static_cast<std::size_t>(levels::Signal::LoopLag)]->exit, 10'000);
+  EXPECT_FALSE(thrifty[static_cast<std::size_t>(levels::Signal::ListAge)]);
+}
+
+// One line each, that names file, line, key and what is allowed.
+TEST(OperatorFile, RefusesWhatIsWrongInOneLine) {
+  const std::pair<const char*, const char*> rows[] = {
+      {"[level]\non = true\n", "op.toml:1: level: there is no such key; did you mean 'levels'?"},
+      {"[levels]\nonn = true\n", "op.toml:2: levels.onn: there is no such key; did you mean 'on'?"},
+      {"[levels]\non = 1\n", "op.toml:2: levels.on: 1 is neither true nor false"},
+      {"[door]\nwork = 1.5\n", "op.toml:2: door.work: 1.5 is out of range; allowed is 0.05 to 1"},
+      {"[admission]\ntarget = 5\n",
+       "op.toml:2: admission.target: 5 is no time; allowed is a number with us, ms, "
+       "s, min or h, as \"250ms\""},
+      {"[admission]\ntarget = \"0ms\"\n", "op.toml:2: admission.target: out of range; allowed is 1ms to 1h"},
+      {"[admission]\nmost = 0\n", "op.toml:2: admission.most: 0 is out of range; allowed is 1 to 65536"},
+      {"[admission]\norder = [\"a\", \"a\"]\n", "op.toml:2: admission.order: a class stands there twice"},
+      {"[admission]\norder = \"a\"\n",
+       "op.toml:2: admission.order: \"a\" stands where a list of texts belongs"},
+      {"[admission]\ninterval = \"1ms\"\n", "op.toml:1: admission: interval has to be no less than target"},
+      {"[door]\nkeep_any = 0.9\n", "op.toml:1: door: keep_used has to be no less than keep_any"},
+      {"[levels.thrifty]\nloop_lag = { enter = \"30ms\" }\n",
+       "op.toml:2: levels.thrifty.loop_lag: the key 'exit' is missing"},
+      {"[levels.thrifty]\nloop_lag = \"always\"\n",
+       "op.toml:2: levels.thrifty.loop_lag: \"always\" is not allowed; allowed is never"},
+      {"[levels.thrifty]\ncpu_share = { enter = 0.5, exit = 0.6 }\n",
+       "op.toml:1: levels: thrifty, cpu share: the exit has to lie under the entry, and neither under 0"},
+      {"[levels.shed]\nlist_age = { enter = \"9s\", exit = \"8s\" }\n",
+       "op.toml:1: levels: shed, list age: the level below has none for it"},
+      {"levels = 3\n", "op.toml:1: levels: 3 stands where a table belongs"},
+  };
+  for (const auto& [text, error] : rows) EXPECT_EQ(errorOf(text), error) << text;
+}
+
+}  // namespace
+}  // namespace ivypost::op
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -120,7 +120,7 @@
   start(2);
   Peer moved(io);
   const auto waiting = discovery.requests.back().line;
-  sidecar->reload(configure({{"discovery", moved.address()}}));
+  sidecar->reload(configure({{"discovery", moved.address()}}), op::File{});
   ASSERT_TRUE(wait([&] { return waiting->closed && moved.requests.size() == 1; }));
   moved.requests[0].drop();  // an outage
   ASSERT_TRUE(wait([&] { return moved.requests.size() == 2; }));
@@ -143,7 +143,7 @@
     ASSERT_TRUE(wait([&] { return from.answers() == turn + 1; }));
   }
   // And back, as often as it is told to.
-  sidecar->reload(configure(json::object()));
+  sidecar->reload(configure(json::object()), op::File{});
   const auto before = discovery.requests.size();
   ASSERT_TRUE(wait([&] { return discovery.requests.size() >= before + 2; }));
   EXPECT_EQ(discovery.requests[before].message.target(), "/v1/endpoints");
@@ -438,9 +438,10 @@
 TEST_F(SidecarTest, ServerAnswersAtTheDeadlineByItself) {
   const Config config = configure(json::object());
   std::vector<orchiddrum::RequestId> taken, over;
-  Server server(io, config,
+  Server server(io, config, op::File{},
                 {[&](const ClientRequest& request) { taken.push_back(request.id); },
-                 [&](orchiddrum::RequestId id) { over.push_back(id); }});
+                 [&](orchiddrum::RequestId id) { over.push_back(id); },
+                 {}});
   const Client from(io, server.port());
   Request request;
   request.expiresInMs = 100;
--- a/tests/start_test.sh
+++ b/tests/start_test.sh
@@ -53,5 +53,21 @@
 code=$?
 [ "$code" -eq 0 ] || fail "SIGTERM ended it with $code"
 
+# The operator's file: one line for a bad one at the start and at SIGHUP, and what it prints as an example is good.
+printf '%s' "$good" >"$dir/config.json"
+printf '[levels]\non = 1\n' >"$dir/op.toml"
+if GW_CONFIG="$dir/config.json" timeout 20 "$program" --operator "$dir/op.toml" 2>"$dir/err"; then fail 'a bad file was taken'; fi
+grep -q 'op.toml:2: levels.on: 1 is neither true nor false$' "$dir/err" || fail "a bad file: $(cat "$dir/err")"
+if timeout 20 "$program" --bogus >/dev/null 2>&1; then fail 'an unknown option was taken'; fi
+"$program" --operator-example >"$dir/op.toml" || fail 'no example'
+GW_CONFIG="$dir/config.json" "$program" --operator "$dir/op.toml" 2>"$dir/err" &
+pid=$!
+told 'ready on port'
+printf '[level]\n' >"$dir/op.toml"
+kill -HUP "$pid"
+told "the configuration stays as it was: .*op.toml:1: level: there is no such key; did you mean 'levels'?"
+kill -TERM "$pid"
+wait "$pid" || fail "SIGTERM ended it with $?"
+
 if [ "$failures" -eq 0 ]; then echo 'start: all cases passed'; fi
 exit "$failures"
