ivyfleet: a part of a core for each sidecar, one tenant's load, an operator's file; estimates end

Overload of a sidecar could not be caused: it had a whole core. The first play with it showed a request's arrival that was never set, so that at shed everything was refused as too late, and an estimate that would have kept itself alive; both mended, the latter with a test.

--- a/src/admission/queue.cpp
+++ b/src/admission/queue.cpp
@@ -53,7 +53,6 @@
   chosen.servedAt = ++turn_;
   const Waiting request = take(*lane, overload ? chosen.waiting.size() - 1 : 0);
   if (request.deadline - now < settings_.answerTime) return Decision{request.id, Verdict::TooLate};
-  usualWait_ += (std::max<Micros>(0, now - request.arrived) - usualWait_) / kSmoothed;
   return Decision{request.id, Verdict::HandOn};
 }
 
--- a/src/admission/queue.h
+++ b/src/admission/queue.h
@@ -88,11 +88,8 @@
 
   bool overloaded(Micros now) const { return !waiting_.empty() && now - busySince_ >= settings_.interval; }
   std::size_t size() const { return waiting_.size(); }
-  // The time that the last ones waited, smoothed over kSmoothed of them.
-  Micros usualWait() const { return usualWait_; }
 
   static constexpr std::uint32_t kTurnsOfOthers = 8;
-  static constexpr Micros kSmoothed = 16;
 
  private:
   struct Lane {                   // of one class, within or beyond shares
@@ -116,7 +113,6 @@
   bool worthFirst_ = false;
   std::uint64_t turn_ = 0;
   Micros busySince_ = 0;  // when it was last empty; meaningless while it is
-  Micros usualWait_ = 0;
 };
 
 }  // namespace ivypost::admission
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -5,10 +5,13 @@
 #include <chrono>
 #include <csignal>
 #include <fstream>
+#include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <stdexcept>
 #include <utility>
 
+#include "fleet/throttle.h"
 #include "standins/clock.h"
 
 namespace ivypost::fleet {
@@ -57,6 +60,8 @@
   // Bound and never listening: keeps the sidecar's port ours from one process to the next.
   std::unique_ptr<tcp::socket> keeper;
   std::unique_ptr<Process> process;
+  std::optional<Throttle> throttle;  // none: the whole core
+  bool paused = false, throttled = false;
   std::unique_ptr<standins::Client> client;
   bool ready = false, wanted = true;  // wanted: it isn't to end
   SidecarResult result;
@@ -74,7 +79,8 @@
       signals_(io_, SIGINT, SIGTERM),
       ledger_(scenario_.rules),
       discovery_(io_, ledger_),
-      ticks_(io_) {}
+      ticks_(io_),
+      throttles_(io_) {}
 
 Fleet::~Fleet() = default;
 
@@ -157,18 +163,23 @@
   // Hexadecimal as it stands, and another one at each start.
   const std::string seed =
       std::to_string(scenario_.seed * 100'000 + sidecar.result.starts * std::uint64_t{100} + sidecar.number);
-  const json file = {{"name", sidecar.name},
-                     {"listen", "127.0.0.1:" + std::to_string(sidecar.port)},
-                     {"discovery", "127.0.0.1:" + std::to_string(sidecar.discoveryPort)},
-                     {"seed", seed},
-                     {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", scenario_.sockets}}},
-                     {"known", discovery_.whole(sidecar.name)},
-                     {"settings", sidecar.settings}};
+  const json file = {
+      {"name", sidecar.name},
+      {"listen", "127.0.0.1:" + std::to_string(sidecar.port)},
+      {"discovery", "127.0.0.1:" + std::to_string(sidecar.discoveryPort)},
+      {"seed", seed},
+      {"limits", {{"cores", scenario_.cores}, {"memory_mb", 192}, {"sockets", scenario_.sockets}}},
+      {"known", discovery_.whole(sidecar.name)},
+      {"settings", sidecar.settings}};
   std::ofstream(sidecar.config) << file.dump(1) << "\n";
-  sidecar.ready = false;
+  sidecar.ready = sidecar.throttled = false;
   sidecar.wanted = true;
+  sidecar.throttle.reset();
+  if (scenario_.cores < 1) sidecar.throttle.emplace(scenario_.cores, nowMicros());
   ++sidecar.result.starts;
-  sidecar.process = std::make_unique<Process>(io_, options_.program,
+  std::vector<std::string> arguments;
+  if (!scenario_.operatorFile.empty()) arguments = {"--operator", scenario_.operatorFile};
+  sidecar.process = std::make_unique<Process>(io_, options_.program, arguments,
                                               std::vector<std::string>{"GW_CONFIG=" + sidecar.config},
                                               [this, &sidecar](const std::string& line) {
                                                 if (line.rfind("ready on port ", 0) == 0)
@@ -201,23 +212,31 @@
 
 // ---- While it plays ---------------------------------------------------------------------------------------
 
-void Fleet::loadBy(double factor) {
+void Fleet::loadBy(double factor, const std::string& tenant) {
+  double all = 0, changed = 0;
+  const auto weight = [&](const Tenant& one) {
+    return one.share * (tenant.empty() || one.name == tenant ? factor : 1);
+  };
+  for (const Tenant& one : scenario_.tenants) {
+    all += one.share;
+    changed += weight(one);
+  }
   for (const auto& sidecar : sidecars_) {
     standins::Client::Load load;
-    load.rate = factor * scenario_.rate / scenario_.sidecars;
+    load.rate = std::max(0.001, changed / all * scenario_.rate / scenario_.sidecars);
     load.retries = scenario_.retries;
     load.backoff = scenario_.backoff;
     load.impatient = scenario_.impatient;
-    load.maxConnections = scenario_.sockets / 3;  // as on the platform
+    load.maxConnections = scenario_.connections > 0 ? scenario_.connections : scenario_.sockets / 3;
     for (const RequestClass& cls : scenario_.classes) {
-      for (const Tenant& tenant : scenario_.tenants) {
+      for (const Tenant& one : scenario_.tenants) {
         standins::Call call;
         call.requestClass = cls.name;
         call.effect = cls.effect;
-        call.tenant = tenant.name;
+        call.tenant = one.name;
         call.deadline = cls.deadline;
         call.aim = cls.aim;
-        load.shares.push_back({call, cls.share * tenant.share});
+        load.shares.push_back({call, cls.share * weight(one)});
       }
     }
     sidecar->client->start(std::move(load));
@@ -264,7 +283,7 @@
       discovery_.silent(true);
       break;
     case Kind::Load:
-      loadBy(event.factor);
+      loadBy(event.factor, event.tenant);
       break;
     case Kind::Kill: {
       Sidecar& sidecar = *sidecars_[event.target];
@@ -278,6 +297,7 @@
       sidecars_[event.target]->process->signal(SIGTERM);
       break;
     case Kind::Pause:
+      sidecars_[event.target]->paused = true;
       sidecars_[event.target]->process->signal(SIGSTOP);
       break;
   }
@@ -310,6 +330,7 @@
       sidecars_[event.target]->client->sidecarGone(false);
       break;
     case Kind::Pause:
+      sidecars_[event.target]->paused = false;
       sidecars_[event.target]->process->signal(SIGCONT);
       break;
     case Kind::Drain:
@@ -321,6 +342,23 @@
   say(std::string(nameOf(event.kind)) + " is over");
 }
 
+// Each sidecar gets its part of a core, looked at ten times as often as anything else here needs it.
+void Fleet::throttle() {
+  if (scenario_.cores >= 1) return;
+  throttles_.expires_after(std::chrono::microseconds(Throttle::kPeriod / 50));
+  throttles_.async_wait([this](const boost::system::error_code& cancelled) {
+    if (cancelled || !playing_) return;
+    for (const auto& one : sidecars_) {
+      if (!one->throttle || one->paused) continue;
+      const bool stop = !one->throttle->mayRun(one->process->processor(), nowMicros());
+      if (stop == one->throttled) continue;
+      one->throttled = stop;
+      one->process->signal(stop ? SIGSTOP : SIGCONT);
+    }
+    throttle();
+  });
+}
+
 // Notices processes that have ended, and starts anew the ones that were told to.
 void Fleet::reap() {
   for (const auto& sidecar : sidecars_) {
@@ -420,6 +458,7 @@
   if (!interrupted_) {
     schedule();
     tick();
+    throttle();
     loadBy(1);
     runUntil([this] { return interrupted_; }, scenario_.length);
   }
@@ -438,6 +477,18 @@
     result.clientRetries += counts.retries;
     result.clientConnections += counts.connections;
   }
+  std::map<std::pair<std::string, std::string>, Share> shares;
+  for (const auto& sidecar : sidecars_) {
+    if (!sidecar->client) continue;
+    for (const auto& [of, counts] : sidecar->client->byShare()) {
+      Share& share = shares[of];
+      share.requestClass = of.first;
+      share.tenant = of.second;
+      share.offered += counts.offered;
+      share.inAim += counts.inAim;
+    }
+  }
+  for (auto& [of, share] : shares) result.shares.push_back(std::move(share));
   for (const auto& node : nodes_) {
     result.nodeConnections += node->node->connectionsAccepted();
     result.nodeArrivals += node->node->arrivals();
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -33,8 +33,16 @@
   bool crashed = false;  // a process ended unasked, or not with 0 at SIGTERM
 };
 
+// Of one class of one tenant: first tries, and what of them was served within the aim at the first try or
+// later.
+struct Share {
+  std::string requestClass, tenant;
+  std::uint64_t offered = 0, inAim = 0;
+};
+
 struct Result {
   standins::Tally tally;
+  std::vector<Share> shares;
   std::vector<standins::Breach> breaches;
   std::vector<SidecarResult> sidecars;
   std::uint64_t offered = 0, inAim = 0, clientRetries = 0, clientConnections = 0;
@@ -85,7 +93,9 @@
   void happen(const Event& event);
   void over(const Event& event);
   void put(Node& node, standins::Discovery::State state, Micros delay);
-  void loadBy(double factor);
+  // Of this tenant alone, or of all of them if it has no name.
+  void loadBy(double factor, const std::string& tenant = {});
+  void throttle();
   void tick();
   void reap();
   void finish();
@@ -102,7 +112,7 @@
   standins::Discovery discovery_;
   std::vector<std::unique_ptr<Node>> nodes_;
   std::vector<std::unique_ptr<Sidecar>> sidecars_;
-  boost::asio::steady_timer ticks_;
+  boost::asio::steady_timer ticks_, throttles_;
   Micros startedAt_ = 0;
   std::uint32_t seconds_ = 0;
   standins::Tally lastTally_;
--- a/src/fleet/process.cpp
+++ b/src/fleet/process.cpp
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -49,15 +50,18 @@
 };
 
 Process::Process(boost::asio::io_context& io, const std::string& program,
-                 const std::vector<std::string>& environment, std::function<void(const std::string&)> line) {
+                 const std::vector<std::string>& arguments, const std::vector<std::string>& environment,
+                 std::function<void(const std::string&)> line) {
   std::array<int, 2> pipe{};
   if (::pipe2(pipe.data(), O_CLOEXEC) != 0) throw std::system_error(errno, std::generic_category(), "pipe");
   // All that the child needs is made ready here: behind fork() it may only call the kernel.
-  std::vector<char*> environ;
-  environ.reserve(environment.size() + 1);
-  for (const std::string& one : environment) environ.push_back(const_cast<char*>(one.c_str()));
-  environ.push_back(nullptr);
-  std::array<char*, 2> arguments = {const_cast<char*>(program.c_str()), nullptr};
+  const auto pointers = [](const std::vector<std::string>& texts, std::vector<char*> list = {}) {
+    for (const std::string& one : texts) list.push_back(const_cast<char*>(one.c_str()));
+    list.push_back(nullptr);
+    return list;
+  };
+  const auto environ = pointers(environment);
+  const auto argv = pointers(arguments, {const_cast<char*>(program.c_str())});
   const pid_t parent = ::getpid();
   id_ = ::fork();
   if (id_ < 0) {
@@ -74,7 +78,7 @@
     // Asio's sockets are not closed by exec: a listener that lived on here would answer for a node that is
     // dead.
     ::close_range(STDERR_FILENO + 1, ~0U, 0);
-    ::execve(program.c_str(), arguments.data(), environ.data());
+    ::execve(program.c_str(), argv.data(), environ.data());
     ::_exit(127);
   }
   ::close(pipe[1]);
@@ -106,6 +110,13 @@
   return code_;
 }
 
+std::int64_t Process::processor() const {
+  clockid_t clock{};
+  timespec used{};
+  if (code_ || ::clock_getcpuclockid(id_, &clock) != 0 || ::clock_gettime(clock, &used) != 0) return 0;
+  return static_cast<std::int64_t>(used.tv_sec) * 1'000'000 + used.tv_nsec / 1000;
+}
+
 Process::Usage Process::usage() {
   if (code_) return last_;
   const std::string at = "/proc/" + std::to_string(id_);
--- a/src/fleet/process.h
+++ b/src/fleet/process.h
@@ -20,9 +20,10 @@
 
 class Process {
  public:
-  // Starts it at once with this environment, and none of the parent's; throws std::system_error. `line` is
-  // called for each line of its standard error, without its end; it must not destroy the process.
-  Process(boost::asio::io_context& io, const std::string& program,
+  // Starts it at once with these arguments behind its name and this environment, and none of the parent's;
+  // throws std::system_error. `line` is called for each line of its standard error, without its end; it must
+  // not destroy the process.
+  Process(boost::asio::io_context& io, const std::string& program, const std::vector<std::string>& arguments,
           const std::vector<std::string>& environment, std::function<void(const std::string&)> line);
   ~Process();  // SIGKILL, and waits for its end
   Process(const Process&) = delete;
@@ -39,6 +40,8 @@
   };
   // As far as the kernel tells; of a process that has ended, as last asked.
   Usage usage();
+  // Processor time since its start, in microseconds and finer than usage(); 0 when it has ended.
+  std::int64_t processor() const;
 
  private:
   struct Log;
--- a/src/fleet/scenario.cpp
+++ b/src/fleet/scenario.cpp
@@ -80,6 +80,10 @@
       break;
     case Kind::Load:
       event.factor = table.number("factor", 0.001, 1000);
+      event.tenant = table.text("tenant", "");
+      if (!event.tenant.empty() && std::none_of(scenario.tenants.begin(), scenario.tenants.end(),
+                                                [&](const Tenant& one) { return one.name == event.tenant; }))
+        table.fail("tenant", "there is no [[tenant]] of this name");
       break;
     case Kind::DiscoveryDown:
     case Kind::DiscoverySilent:
@@ -127,8 +131,11 @@
   scenario.sidecars =
       static_cast<std::uint32_t>(root.integer("sidecars", 1, kMaxSidecars, scenario.sidecars));
   scenario.sockets = static_cast<std::uint32_t>(root.integer("sockets", 32, 1'000'000, scenario.sockets));
+  scenario.cores = root.number("cores", 0.01, 1, scenario.cores);
+  scenario.operatorFile = root.text("operator", "");
   scenario.rate = root.number("rate", 0.1, 100'000, scenario.rate);
   scenario.retries = static_cast<std::uint32_t>(root.integer("retries", 0, 10, 0));
+  scenario.connections = static_cast<std::uint32_t>(root.integer("connections", 0, 20'000, 0));
   scenario.backoff = within(root, "backoff", 0, 60'000'000, scenario.backoff);
   scenario.impatient = root.number("impatient", 0, 1, 0);
   scenario.notice = within(root, "notice", 0, 600'000'000, scenario.notice);
--- a/src/fleet/scenario.h
+++ b/src/fleet/scenario.h
@@ -57,6 +57,7 @@
   Micros at = 0, length = 0;
   std::uint32_t target = 0;  // the node's or sidecar's number, from 0
   double factor = 1;
+  std::string tenant;  // of Load: whose alone; empty: everybody's
   fault::Plan plan;
 };
 const char* nameOf(Event::Kind kind);
@@ -67,10 +68,13 @@
   std::uint64_t seed = 1;
   std::uint32_t sidecars = 3;
   std::uint32_t sockets = 1024;  // descriptors of a sidecar
+  double cores = 1;              // of processor that a sidecar may use; it is stopped for what it uses beyond
+  std::string operatorFile;      // the sidecars' own, by its path; empty: none
   std::vector<NodeKind> nodes;
   std::vector<RequestClass> classes;
   std::vector<Tenant> tenants;
   double rate = 100;  // first tries a second, over all clients; they share it evenly
+  std::uint32_t connections = 0;  // of one sidecar's clients at the most; 0: a third of the sidecar's descriptors
   std::uint32_t retries = 0;
   Micros backoff = 50'000;
   double impatient = 0;
--- a/src/sidecar/gate.cpp
+++ b/src/sidecar/gate.cpp
@@ -118,20 +118,17 @@
   return true;
 }
 
-void Gate::served(Micros took) {
-  usualAnswer_ += (took - usualAnswer_) / kSmoothed;
-}
-
 bool Gate::hopeless(std::uint32_t requestClass, Micros left) const {
   const double most = *std::max_element(worth_.begin(), worth_.end());
   if (worth_.at(requestClass) < effect_.leastWorth * most) return true;
-  return left < (queue_ ? queue_->usualWait() : 0) + usualAnswer_;
+  const Micros at = now();
+  return left < wait_.value(at) + answer_.value(at);
 }
 
 Micros Gate::comeAgain() const {
   const auto& settings = config_.site.settings;
   if (!settings.retryAfter) return 0;
-  const Micros away = std::max(kLeastAway, 2 * (queue_ ? queue_->usualWait() : 0));
+  const Micros away = std::max(kLeastAway, 2 * wait_.value(now()));
   return settings.maxRetryAfter > 0 ? std::min(away, settings.maxRetryAfter) : away;
 }
 
@@ -145,7 +142,10 @@
   ++counts_.at(static_cast<std::size_t>(decision.verdict));
   ClientRequest request = std::move(found->second.request);
   held_.erase(found);
-  if (decision.verdict == Verdict::HandOn) return callbacks_.handOn(std::move(request));
+  if (decision.verdict == Verdict::HandOn) {
+    wait_.add(now() - microsOf(request.arrived), now());
+    return callbacks_.handOn(std::move(request));
+  }
   callbacks_.refuse(decision.id, decision.verdict);
 }
 
--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -14,6 +14,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "admission/estimate.h"
 #include "admission/queue.h"
 #include "admission/shares.h"
 #include "client_request.h"
@@ -46,7 +47,8 @@
   void offer(ClientRequest request, bool crowded);
   // Its client left or was answered. False if it does not wait here.
   bool withdraw(orchiddrum::RequestId id);
-  void served(Micros took);
+  // Since it was handed on.
+  void served(Micros took) { answer_.add(took, now()); }
 
   bool refusesFromHead() const { return effect_.refuseFromHead; }
   bool queues() const { return queue_ != nullptr; }
@@ -61,9 +63,6 @@
     return counts_.at(static_cast<std::size_t>(verdict));
   }
 
-  // Answers' times are smoothed over so many.
-  static constexpr Micros kSmoothed = 32;
-
  private:
   std::vector<double> worthBy(const op::File& file) const;
   void carryOut(const admission::Decision& decision);
@@ -86,7 +85,7 @@
   levels::Effect effect_;
   std::int64_t handedOn_ = 0;  // in this turn of the loop
   bool turnSet_ = false;
-  Micros usualAnswer_ = 0;
+  admission::Estimate wait_, answer_;  // of those handed on: in the queue, and until they were served
   std::array<std::uint64_t, admission::kVerdicts> counts_{};
   std::shared_ptr<bool> alive_;  // for handlers that outlive this
 };
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -254,12 +254,14 @@
             self->keepAlive_ = false;
             return self->write(self->server_.plain(flaw->status, flaw->why));
           }
-          if (auto refused = self->server_.refusesFromHead(self->parser_->get(), self->unreadFor())) {
-            self->keepAlive_ = self->parser_->is_done() && self->parser_->keep_alive();
-            self->timer_.cancel();
-            return self->write(std::move(*refused));
-          }
           if (self->parser_->is_done()) return self->onRead(error);
+          // A body that has come along costs less to read than a new connection would.
+          if (self->parser_->content_length_remaining().value_or(kMaxBody) > self->buffer_.size()) {
+            if (auto refused = self->server_.refusesFromHead(self->parser_->get(), self->unreadFor())) {
+              self->keepAlive_ = false;
+              return self->write(std::move(*refused));
+            }
+          }
           if (expectsContinue(self->parser_->get()) && self->buffer_.size() == 0) return self->goOn();
           self->readBody();
         });
@@ -584,6 +586,7 @@
   }
   if (parts.size() > 1) request.key = orchiddrum::identity(parts.back());
   request.resent = header(message, "X-Second-Try").value_or("") == "1";
+  request.arrived = Clock::now() - unread;
   if (unread > milliseconds(0) && request.expiresIn == 0)
     return plain(503, "its time was over when it was read");
   if (full() || !door_.mayWork()) return plain(503, "too many open requests");
--- a/src/standins/client.h
+++ b/src/standins/client.h
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -76,6 +77,11 @@
   std::size_t open() const;
 
   const Counts& counts() const { return counts_; }
+  struct ShareCounts {
+    std::uint64_t offered = 0, inAim = 0;
+  };
+  // By class and tenant.
+  const std::map<std::pair<std::string, std::string>, ShareCounts>& byShare() const { return byShare_; }
 
  private:
   class Line;
@@ -96,6 +102,7 @@
   Micros nextAt_ = 0;
   std::uint64_t lastId_ = 0;
   Counts counts_;
+  std::map<std::pair<std::string, std::string>, ShareCounts> byShare_;
   boost::asio::steady_timer timer_;
   std::unordered_set<std::shared_ptr<Line>> lines_;
   std::vector<std::shared_ptr<Line>> idle_;
--- a/tests/admission/queue_test.cpp
+++ b/tests/admission/queue_test.cpp
@@ -9,6 +9,8 @@
 #include <set>
 #include <vector>
 
+#include "admission/estimate.h"
+
 namespace ivypost::admission {
 namespace {
 
@@ -188,6 +190,19 @@
   EXPECT_LE(waited, QueueSettings{}.interval);
 }
 
+// What was measured long ago says nothing: an estimate because of which all is refused must not last.
+TEST(Estimate, EndsWhenNothingIsMeasured) {
+  Estimate estimate;
+  EXPECT_EQ(estimate.value(0), 0);
+  estimate.add(1000 * kMs, 0);
+  estimate.add(200 * kMs, kMs);
+  EXPECT_EQ(estimate.value(kMs), 950 * kMs);
+  EXPECT_EQ(estimate.value(kMs + Estimate::kStale), 950 * kMs);
+  EXPECT_EQ(estimate.value(kMs + Estimate::kStale + 1), 0);
+  estimate.add(10 * kMs, 1000 * kMs);
+  EXPECT_EQ(estimate.value(1000 * kMs), 10 * kMs);
+}
+
 // Whatever comes: each request gets exactly one decision, the bounds hold, and refuse or withdraw leaves
 // nothing.
 TEST(QueueProperty, OneDecisionEach) {
--- a/tools/ivyfleet/main.cpp
+++ b/tools/ivyfleet/main.cpp
@@ -64,6 +64,12 @@
   row("client left", t.left, percent(t.left, t.sent));
   row("unanswered", t.unanswered, percent(t.unanswered, t.sent));
   row("served within the aim", result.inAim, percent(result.inAim, result.offered), "of first tries");
+  for (const auto& share : result.shares) {
+    const std::string name = "  " + share.requestClass + " " + share.tenant;
+    std::printf("  %-22s %8llu  %6.2f%%  of %llu\n", name.c_str(),
+                static_cast<unsigned long long>(share.inAim), percent(share.inAim, share.offered),
+                static_cast<unsigned long long>(share.offered));
+  }
   std::printf("rules\n");
   row("1 lost", t.breaches[1], percent(t.breaches[1], t.sent), t.breaches[1] == 0 ? "kept" : "BROKEN");
   row("2 twice", t.breaches[2], percent(t.breaches[2], t.sent), t.breaches[2] == 0 ? "kept" : "BROKEN");
@@ -101,8 +107,16 @@
   setrlimit(RLIMIT_NOFILE, &limit);
 }
 
-int run(const std::string& path, std::string program, double length, bool verbose) {
+struct Changes {
+  double length = 0, rate = 0;  // 0: the scenario's own
+  std::string operatorFile;     // empty: likewise
+};
+
+int run(const std::string& path, std::string program, const Changes& changes, bool verbose) {
   fleet::Scenario scenario = fleet::readScenario(path);
+  const double length = changes.length;
+  if (changes.rate > 0) scenario.rate = changes.rate;
+  if (!changes.operatorFile.empty()) scenario.operatorFile = changes.operatorFile;
   if (length > 0) scenario.length = static_cast<Micros>(length * 1e6);
   if (program.empty()) program = std::filesystem::read_symlink("/proc/self/exe").parent_path() / "ivypost";
   if (access(program.c_str(), X_OK) != 0)
@@ -147,17 +161,21 @@
   std::signal(SIGPIPE, SIG_IGN);
   raiseDescriptorLimit();
   std::string scenario, program;
-  double length = 0;
+  Changes changes;
   bool verbose = false;
   CLI::App app("Plays a scenario with real ivypost processes between stand-in nodes and clients on loopback");
   app.add_option("scenario", scenario, "a TOML file; examples/ has some")->required();
   app.add_option("--ivypost", program, "the sidecar's program; else the one beside this one");
-  app.add_option("--length", length, "seconds, in place of the scenario's own")
+  app.add_option("--length", changes.length, "seconds, in place of the scenario's own")
       ->check(CLI::Range(1.0, 86400.0));
+  app.add_option("--rate", changes.rate, "requests a second, in place of the scenario's own")
+      ->check(CLI::Range(0.1, 100000.0));
+  app.add_option("--operator", changes.operatorFile,
+                 "the sidecars' operator's file, in place of the scenario's own");
   app.add_flag("--verbose", verbose, "shows the sidecars' logs too");
   CLI11_PARSE(app, argc, argv);
   try {
-    return run(scenario, program, length, verbose);
+    return run(scenario, program, changes, verbose);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "ivyfleet: %s\n", error.what());
     return 2;
