A cheaper request: one read and one write a hop, one timer for all deadlines

A request took 20 system calls (8.4 of them epoll_wait): each composed read and write finished through the loop, and each connection had a kernel timer.

--- /dev/null
+++ b/src/sidecar/deadlines.h
@@ -0,0 +1,100 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// All deadlines of the data plane behind one timer of the loop. Most are moved or dropped before they pass,
+// and later than the earliest one, so that the kernel's timer is hardly ever set: a timer a connection cost
+// two system calls a request.
+#ifndef IVYPOST_DEADLINES_H_
+#define IVYPOST_DEADLINES_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <utility>
+
+#include "clock.h"
+
+namespace ivypost {
+
+class Deadlines : public std::enable_shared_from_this<Deadlines> {
+ public:
+  explicit Deadlines(boost::asio::io_context& io) : timer_(io) {}
+  Deadlines(const Deadlines&) = delete;
+  Deadlines& operator=(const Deadlines&) = delete;
+
+  // No more callbacks: whoever they would call is about to go.
+  void stop() {
+    stopped_ = true;
+    timer_.cancel();
+  }
+
+  // One deadline. Dropped when it is destroyed.
+  class Deadline {
+   public:
+    explicit Deadline(std::shared_ptr<Deadlines> all) : all_(std::move(all)) {}
+    Deadline(const Deadline&) = delete;
+    Deadline& operator=(const Deadline&) = delete;
+    ~Deadline() { cancel(); }
+
+    // Calls back from the loop at this time or soon after, once; in place of what was set before. The
+    // callback may set it anew, and may destroy it.
+    void set(Clock::time_point at, std::function<void()> passed) {
+      passed_ = std::move(passed);
+      if (node_.empty() && !set_) {
+        place_ = all_->set_.emplace(at, this);
+      } else {
+        // Without allocating: the place in the tree is moved.
+        if (set_) node_ = all_->set_.extract(place_);
+        node_.key() = at;
+        place_ = all_->set_.insert(std::move(node_));
+      }
+      set_ = true;
+      all_->arm();
+    }
+    void cancel() {
+      if (std::exchange(set_, false)) node_ = all_->set_.extract(place_);
+    }
+
+   private:
+    friend class Deadlines;
+    const std::shared_ptr<Deadlines> all_;
+    std::function<void()> passed_;
+    std::multimap<Clock::time_point, Deadline*>::iterator place_;
+    std::multimap<Clock::time_point, Deadline*>::node_type node_;  // while it is not set
+    bool set_ = false;
+  };
+
+ private:
+  void arm() {
+    if (stopped_ || set_.empty() || set_.begin()->first >= armedFor_) return;
+    armedFor_ = set_.begin()->first;
+    timer_.expires_at(armedFor_);
+    timer_.async_wait([self = weak_from_this()](const boost::system::error_code& cancelled) {
+      if (cancelled) return;
+      if (const auto all = self.lock()) all->pass();
+    });
+  }
+
+  void pass() {
+    armedFor_ = Clock::time_point::max();
+    // Those that are due now; what a callback sets waits for the next turn of the loop.
+    const auto now = Clock::now();
+    while (!stopped_ && !set_.empty() && set_.begin()->first <= now) {
+      Deadline& first = *set_.begin()->second;
+      first.cancel();
+      const auto passed = std::exchange(first.passed_, nullptr);
+      passed();
+    }
+    arm();
+  }
+
+  boost::asio::steady_timer timer_;
+  std::multimap<Clock::time_point, Deadline*> set_;
+  Clock::time_point armedFor_ = Clock::time_point::max();
+  bool stopped_ = false;
+};
+
+}  // namespace ivypost
+
+#endif  // IVYPOST_DEADLINES_H_
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -41,6 +41,8 @@
 // reset the connection and could cost it the answer. But no more than so much: it would cost us the core.
 constexpr milliseconds kLinger{200};
 constexpr std::size_t kMaxDiscard = 64UL * 1024;
+// A buffer that was read empty is kept up to this size for the connection's next request.
+constexpr std::size_t kKeptBuffer = 4096;
 // What a client may send ahead while its request waits; beyond it a close is noticed late.
 constexpr std::size_t kMaxAhead = 16UL * 1024;
 // The kernel tells times by its own tick, of 10 ms at the most; less may be none.
@@ -105,7 +107,7 @@
 class Server::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(Server& server, tcp::socket socket, admission::Door::Place place)
-      : server_(server), socket_(std::move(socket)), timer_(server.io_), place_(place) {}
+      : server_(server), socket_(std::move(socket)), deadline_(server.deadlines_), place_(place) {}
 
   void start() {
     error_code ignored;
@@ -138,32 +140,41 @@
   // Answers what the client has sent, and goes on or hangs up.
   void write(Answer answer) {
     state_ = State::Writing;
-    http::response<http::string_body> response(static_cast<http::status>(answer.status), 11);
-    response.set(http::field::content_type, answer.contentType);
-    if (answer.retryAfter > 0) response.set(http::field::retry_after, seconds(answer.retryAfter));
-    response.keep_alive(keepAlive_ && !server_.stopping_ && server_.door_.keeps(place_));
-    response.body() = std::move(answer.body);
-    response.prepare_payload();
-    response_ = std::move(response);
+    last_ = !keepAlive_ || server_.stopping_ || !server_.door_.keeps(place_);
+    wrong_ = answer.status / 100 == 4;
+    const auto reason = http::obsolete_reason(static_cast<http::status>(answer.status));
+    head_ = "HTTP/1.1 " + std::to_string(answer.status) + " " + std::string(view(reason)) +
+            "\r\nContent-Type: " + answer.contentType;
+    if (answer.retryAfter > 0) head_ += "\r\nRetry-After: " + seconds(answer.retryAfter);
+    if (last_) head_ += "\r\nConnection: close";
+    head_ += "\r\nContent-Length: " + std::to_string(answer.body.size()) + "\r\n\r\n";
+    body_ = std::move(answer.body);
+    // Nearly always the kernel takes all of it at once.
+    const std::array<asio::const_buffer, 2> parts = {asio::buffer(head_), asio::buffer(body_)};
+    error_code error;
+    const std::size_t sent = socket_.write_some(parts, error);
+    if (!error && sent == asio::buffer_size(parts)) return onWritten();
+    if (error && error != asio::error::would_block) {
+      // Not from within the caller, who may be in the middle of something of this session's.
+      asio::post(server_.io_, [self = shared_from_this()] { self->close(); });
+      return;
+    }
+    head_ += body_;
+    head_.erase(0, sent);
     limit(Clock::now() + kAnswerTime);
-    http::async_write(socket_, response_, [self = shared_from_this()](error_code error, std::size_t) {
-      if (self->state_ == State::Closed) return;
-      if (error) return self->close();
-      self->timer_.cancel();
-      const bool last = !self->response_.keep_alive();
-      const bool wrong = http::to_status_class(self->response_.result()) == http::status_class::client_error;
-      self->response_ = {};
-      self->parser_.reset();
-      if (last) return self->hangUp();
-      self->next(wrong ? kErrorPause : milliseconds(0));
-    });
+    asio::async_write(socket_, asio::buffer(head_),
+                      [self = shared_from_this()](error_code failed, std::size_t) {
+                        if (self->state_ != State::Writing) return;
+                        if (failed) return self->close();
+                        self->onWritten();
+                      });
   }
 
   void close() {
     if (state_ == State::Closed) return;
     const bool waiting = state_ == State::Waiting;
     state_ = State::Closed;
-    timer_.cancel();
+    deadline_.cancel();
     error_code ignored;
     socket_.close(ignored);
     const auto self = shared_from_this();  // the server's may have been the last
@@ -191,7 +202,7 @@
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code) {
       self->watching_ = false;
       if (self->state_ != State::Idle && self->state_ != State::Waiting) return;
-      const error_code error = self->state_ == State::Idle ? self->peek() : self->readAhead();
+      const error_code error = self->readAhead();
       if (error == asio::error::would_block) return self->watch();
       if (error) return self->close();
       if (self->state_ == State::Idle) return self->read();
@@ -199,28 +210,31 @@
     });
   }
 
-  // Guards against a client that sends more while its request waits, and then leaves unnoticed.
+  // What has come. While a request waits, it guards against a client that sends more and then leaves
+  // unnoticed.
   error_code readAhead() {
     error_code error;
     buffer_.commit(socket_.receive(buffer_.prepare(4096), 0, error));
     return error;
   }
 
-  void next(milliseconds pause) {
-    if (buffer_.size() == 0) buffer_.shrink_to_fit();
+  void onWritten() {
+    deadline_.cancel();
+    parser_.reset();
+    body_ = {};
+    if (last_) return hangUp();
+    if (buffer_.size() == 0 && buffer_.capacity() > kKeptBuffer) buffer_.shrink_to_fit();
     state_ = State::Idle;
     server_.door_.rest(place_, now());
-    if (pause > milliseconds(0)) {
-      timer_.expires_after(pause);
-      timer_.async_wait([self = shared_from_this()](error_code cancelled) {
-        if (!cancelled && self->state_ == State::Idle) self->resume();
-      });
-      return;
-    }
-    resume();
+    if (wrong_) return deadline_.set(Clock::now() + kErrorPause, [this] { resume(); });
+    // One request of a connection a turn of the loop: whoever sends many at once has to let the others have
+    // theirs.
+    if (buffer_.size() == 0) return watch();
+    asio::post(server_.io_, [self = shared_from_this()] { self->resume(); });
   }
 
   void resume() {
+    if (state_ != State::Idle) return;
     if (buffer_.size() > 0) return read();
     watch();
   }
@@ -240,31 +254,38 @@
     parser_.emplace();
     parser_->header_limit(kMaxHeader);
     parser_->body_limit(kMaxBody);
-    const auto self = shared_from_this();
-    http::async_read_header(
-        socket_, buffer_, *parser_, [self, mayBeEmptyLine](error_code error, std::size_t) {
-          if (self->state_ != State::Reading) return;
-          // RFC 9112, 2.2: an empty line ahead of a request is passed over.
-          if (error == http::error::bad_method && mayBeEmptyLine && self->received().substr(0, 2) == "\r\n") {
-            self->buffer_.consume(2);
-            return self->readHead(false);
-          }
-          if (error) return self->onRead(error);
-          if (const auto flaw = flawOf(self->parser_->get())) {
-            self->keepAlive_ = false;
-            return self->write(self->server_.plain(flaw->status, flaw->why));
-          }
-          if (self->parser_->is_done()) return self->onRead(error);
-          // A body that has come along costs less to read than a new connection would.
-          if (self->parser_->content_length_remaining().value_or(kMaxBody) > self->buffer_.size()) {
-            if (auto refused = self->server_.refusesFromHead(self->parser_->get(), self->unreadFor())) {
-              self->keepAlive_ = false;
-              return self->write(std::move(*refused));
-            }
-          }
-          if (expectsContinue(self->parser_->get()) && self->buffer_.size() == 0) return self->goOn();
-          self->readBody();
-        });
+    // As a rule the whole head is here already.
+    error_code error;
+    if (buffer_.size() > 0) buffer_.consume(parser_->put(buffer_.data(), error));
+    if (error != http::error::need_more && (error || parser_->is_header_done()))
+      return onHead(error, mayBeEmptyLine);
+    http::async_read_header(socket_, buffer_, *parser_,
+                            [self = shared_from_this(), mayBeEmptyLine](error_code failed, std::size_t) {
+                              if (self->state_ == State::Reading) self->onHead(failed, mayBeEmptyLine);
+                            });
+  }
+
+  void onHead(error_code error, bool mayBeEmptyLine) {
+    // RFC 9112, 2.2: an empty line ahead of a request is passed over.
+    if (error == http::error::bad_method && mayBeEmptyLine && received().substr(0, 2) == "\r\n") {
+      buffer_.consume(2);
+      return readHead(false);
+    }
+    if (error) return onRead(error);
+    if (const auto flaw = flawOf(parser_->get())) {
+      keepAlive_ = false;
+      return write(server_.plain(flaw->status, flaw->why));
+    }
+    if (parser_->is_done()) return onRead(error);
+    // A body that has come along costs less to read than a new connection would.
+    if (parser_->content_length_remaining().value_or(kMaxBody) > buffer_.size()) {
+      if (auto refused = server_.refusesFromHead(parser_->get(), unreadFor())) {
+        keepAlive_ = false;
+        return write(std::move(*refused));
+      }
+    }
+    if (expectsContinue(parser_->get()) && buffer_.size() == 0) return goOn();
+    readBody();
   }
 
   // The client waits for this before it sends the body.
@@ -280,21 +301,29 @@
 
   void readBody() {
     // A trailer's fields are no headers (RFC 9110, 6.5.1), but the parser adds them there.
-    if (parser_->chunked()) head_ = parser_->get().base();
-    http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code error, std::size_t) {
-      if (self->state_ != State::Reading) return;
-      if (self->head_) self->parser_->get().base() = std::move(*std::exchange(self->head_, std::nullopt));
-      self->onRead(error);
+    if (parser_->chunked()) headers_ = parser_->get().base();
+    parser_->eager(true);
+    error_code error;
+    while (!error && !parser_->is_done() && buffer_.size() > 0)
+      buffer_.consume(parser_->put(buffer_.data(), error));
+    if (error != http::error::need_more && (error || parser_->is_done())) return onBody(error);
+    http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code failed, std::size_t) {
+      if (self->state_ == State::Reading) self->onBody(failed);
     });
   }
 
+  void onBody(error_code error) {
+    if (headers_) parser_->get().base() = std::move(*std::exchange(headers_, std::nullopt));
+    onRead(error);
+  }
+
   std::string_view received() const {
     const auto data = buffer_.data();
     return {static_cast<const char*>(data.data()), data.size()};
   }
 
   void onRead(error_code error) {
-    timer_.cancel();
+    deadline_.cancel();
     if (error) {
       keepAlive_ = false;
       if (error == http::error::body_limit) return write(server_.plain(413, "body over 64 KiB"));
@@ -318,11 +347,11 @@
     server_.open_.emplace(request_, shared_from_this());
     watch();
     // Guards the last answer against everything else: a late timer, a full core, a module that is wrong.
-    timer_.expires_at(request.deadline + kBackstop);
-    timer_.async_wait([self = shared_from_this()](error_code cancelled) {
-      if (cancelled || self->state_ != State::Waiting || !self->server_.endRequest(*self)) return;
-      self->write(self->server_.plain(504, "no answer in time"));
-      self->server_.over(self->request_);
+    deadline_.set(request.deadline + kBackstop, [this] {
+      const auto self = shared_from_this();
+      if (state_ != State::Waiting || !server_.endRequest(*this)) return;
+      write(server_.plain(504, "no answer in time"));
+      server_.over(request_);
     });
     server_.gate_.offer(std::move(request), !server_.door_.mayWork());
   }
@@ -335,11 +364,7 @@
   }
 
   void limit(Clock::time_point until) {
-    timer_.expires_at(until);
-    timer_.async_wait([self = shared_from_this()](error_code cancelled) {
-      // A timer that was set anew since it ran out is not meant.
-      if (!cancelled && self->timer_.expiry() <= Clock::now()) self->close();
-    });
+    deadline_.set(until, [this] { close(); });
   }
 
   void hangUp() {
@@ -363,11 +388,12 @@
 
   Server& server_;
   tcp::socket socket_;
-  asio::steady_timer timer_;
+  Deadlines::Deadline deadline_;
   beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
-  std::optional<RequestHead> head_;  // as it came, while a chunked body is read
-  http::response<http::string_body> response_;
+  std::optional<RequestHead> headers_;  // as they came, while a chunked body is read
+  std::string head_, body_;             // of the answer
+  bool last_ = false, wrong_ = false;   // the answer ends the connection; it says that the client erred
   RequestId request_ = 0;
   Clock::time_point arrivedAt_;
   std::uint64_t trace_ = 0;
@@ -383,6 +409,7 @@
       callbacks_(std::move(callbacks)),
       acceptor_(io),
       timer_(io),
+      deadlines_(std::make_shared<Deadlines>(io)),
       door_(doorSettings(config, file)),
       gate_(io, config, file,
             {[this](ClientRequest request) { callbacks_.taken(std::move(request)); },
@@ -398,7 +425,9 @@
   accept();
 }
 
-Server::~Server() = default;
+Server::~Server() {
+  deadlines_->stop();
+}
 
 void Server::accept() {
   if (!acceptor_.is_open()) return;
@@ -588,8 +617,10 @@
   request.resent = header(message, "X-Second-Try").value_or("") == "1";
   request.arrived = Clock::now() - unread;
   if (unread > milliseconds(0) && request.expiresIn == 0)
-    return plain(503, "its time was over when it was read");
-  if (full() || !door_.mayWork()) return plain(503, "too many open requests");
+    return refusal("refused: its time was over when it was read");
+  if (gate_.refusesFromHead() && gate_.hopeless(request.requestClass, request.expiresIn))
+    return refusal("refused: too late");
+  if (full() || (!gate_.queues() && !door_.mayWork())) return refusal("refused: too many open requests");
   request.id = ++lastId_;
   request.message = std::make_shared<const Message>(std::move(message));
   return request;
--- a/src/sidecar/server.h
+++ b/src/sidecar/server.h
@@ -23,6 +23,7 @@
 #include "client_request.h"
 #include "clock.h"
 #include "config.h"
+#include "deadlines.h"
 #include "gate.h"
 
 namespace ivypost {
@@ -96,6 +97,7 @@
   Callbacks callbacks_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer timer_;
+  const std::shared_ptr<Deadlines> deadlines_;  // of the sessions
   admission::Door door_;
   Gate gate_;
   bool statusOn_;
--- a/src/sidecar/upstreams.cpp
+++ b/src/sidecar/upstreams.cpp
@@ -2,9 +2,10 @@
 #include "upstreams.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include "framing.h"
@@ -28,6 +29,8 @@
 // What the kernel may hold of a request that nobody reads, as SO_SNDBUF takes it (Linux doubles it). A small
 // buffer lets a large body's write stand still, so that the request is known never to have come whole.
 constexpr int kSendBuffer = 16 * 1024;
+// What is read of an answer at once.
+constexpr std::size_t kReadAtOnce = 8 * 1024;
 // So many informational answers may come ahead of one.
 constexpr int kMaxInterim = 8;
 // Figures of a load report beyond this can't be meant.
@@ -57,7 +60,7 @@
 class Upstreams::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(Upstreams& pool, UpstreamId upstream)
-      : pool_(pool), upstream_(upstream), socket_(pool.io_), timer_(pool.io_) {}
+      : pool_(pool), upstream_(upstream), socket_(pool.io_), deadline_(pool.deadlines_) {}
 
   UpstreamId upstream() const { return upstream_; }
   Clock::time_point idleSince() const { return idleSince_; }
@@ -97,7 +100,7 @@
   void close() {
     if (closed_) return;
     closed_ = true;
-    timer_.cancel();
+    deadline_.cancel();
     error_code ignored;
     socket_.close(ignored);
     const auto self = shared_from_this();  // the pool's may have been the last
@@ -117,56 +120,100 @@
     const auto now = Clock::now();
     const Job& job = *job_;
     if (now >= job.deadline || now >= job.writeBy) return fail(Outcome::ConnectFailed);
+    RequestHead head;
+    std::string_view body;
     if (job.attempt) {
-      request_ = *job.attempt->message;
-      dropHopByHop(request_);
+      head = job.attempt->message->base();
+      body = job.attempt->message->body();
+      dropHopByHop(head);
       const auto left = duration_cast<milliseconds>(job.deadline - now).count();
-      request_.set("X-Expires-In-Ms", std::to_string(std::max<std::int64_t>(1, left)));
-      request_.version(11);
-      request_.prepare_payload();
+      head.set("X-Expires-In-Ms", std::to_string(std::max<std::int64_t>(1, left)));
     } else {
-      request_ = Message(http::verb::get, "/status/load", 11);
-      request_.set(http::field::host, "upstream");
+      head.method(http::verb::get);
+      head.target("/status/load");
+      head.set(http::field::host, "upstream");
     }
+    // Framing is this connection's own matter (RFC 9110, 8.6): a length wherever there may be a body.
+    head.erase(http::field::transfer_encoding);
+    head.erase(http::field::content_length);
+    if (!body.empty() || head.method() == http::verb::post)
+      head.set(http::field::content_length, std::to_string(body.size()));
+    text_.assign(view(head.method_string())).append(" ").append(view(head.target())).append(" HTTP/1.1\r\n");
+    for (const auto& field : head)
+      text_.append(view(field.name_string())).append(": ").append(view(field.value())).append("\r\n");
+    text_.append("\r\n");
+    // The body goes from where it is, as far as the kernel takes it at once.
+    const std::array<asio::const_buffer, 2> parts = {asio::buffer(text_),
+                                                     asio::buffer(body.data(), body.size())};
+    const std::size_t size = asio::buffer_size(parts);
+    error_code error;
+    const std::size_t sent = socket_.write_some(parts, error);
+    if (error && error != asio::error::would_block) return fail(Outcome::ConnectFailed);
     // A body that the kernel can't take at once waits for an upstream that reads, which is part of coming up.
-    const bool large = request_.body().size() > kSendBuffer;
+    const bool large = body.size() > kSendBuffer;
+    if (sent == size) return onWritten();
     limit(large ? std::min(job.deadline, now + pool_.connectTimeout_) : job.deadline);
-    http::async_write(socket_, request_, [self = shared_from_this(), large](error_code error, std::size_t) {
-      if (!self->job_) return;
-      // An error here means that the last byte has not gone out.
-      if (error) return self->fail(Outcome::ConnectFailed);
-      if (large) self->limit(self->job_->deadline);
-      self->job_->written = true;
-      if (self->job_->attempt) self->pool_.callbacks_.written(self->job_->attempt->id);
-      self->read();
-    });
+    text_.append(body).erase(0, sent);
+    asio::async_write(socket_, asio::buffer(text_),
+                      [self = shared_from_this()](error_code failed, std::size_t) {
+                        if (!self->job_) return;
+                        // An error here means that the last byte has not gone out.
+                        if (failed) return self->fail(Outcome::ConnectFailed);
+                        self->onWritten();
+                      });
+  }
+
+  void onWritten() {
+    limit(job_->deadline);
+    job_->written = true;
+    if (job_->attempt) pool_.callbacks_.written(job_->attempt->id);
+    read();
   }
 
   // Guards against an answer without end: Boost.Beast 1.74 forgets that a length is over the limit when the
   // body comes along with the header, so the header is read apart.
-  void read(int interim = 0) {
+  void read() {
     parser_.emplace();
     parser_->header_limit(kMaxHeader);
     parser_->body_limit(kMaxBody);
-    const auto self = shared_from_this();
-    http::async_read_header(socket_, buffer_, *parser_, [self, interim](error_code error, std::size_t) {
-      if (!self->job_) return;
-      if (error) return self->fail(Outcome::Reset);
-      const auto& head = self->parser_->get();
+    interim_ = 0;
+    watch();
+  }
+
+  // Something has come, or the connection has ended.
+  void readable() {
+    error_code error;
+    buffer_.commit(socket_.receive(buffer_.prepare(kReadAtOnce), 0, error));
+    if (error == asio::error::would_block) return watch();
+    if (error) return fail(Outcome::Reset);
+    parse();
+  }
+
+  void parse() {
+    error_code error;
+    while (!error && !parser_->is_done() && buffer_.size() > 0) {
+      const bool head = !parser_->is_header_done();
+      buffer_.consume(parser_->put(buffer_.data(), error));
+      if (!head || error || !parser_->is_header_done()) continue;
+      const auto& answer = parser_->get();
       // By the number: Boost.Beast 1.74 has no name for 103.
-      if (http::to_status_class(head.result_int()) == http::status_class::informational) {
+      if (http::to_status_class(answer.result_int()) == http::status_class::informational) {
         // A switch of protocols was not asked for, and no answer comes after it.
-        if (head.result() == http::status::switching_protocols || interim == kMaxInterim)
-          return self->fail(Outcome::Reset);
-        return self->read(interim + 1);
+        if (answer.result() == http::status::switching_protocols || interim_ == kMaxInterim)
+          return fail(Outcome::Reset);
+        ++interim_;
+        parser_.emplace();
+        parser_->header_limit(kMaxHeader);
+        parser_->body_limit(kMaxBody);
+        continue;
       }
       // An answer that ends with its connection can't be told from one that broke off.
-      if (!plainFraming(head) || self->parser_->need_eof()) return self->fail(Outcome::Reset);
-      if (self->parser_->is_done()) return self->onRead(error);
-      http::async_read(self->socket_, self->buffer_, *self->parser_, [self](error_code failed, std::size_t) {
-        if (self->job_) self->onRead(failed);
-      });
-    });
+      if (!plainFraming(answer) || parser_->need_eof()) return fail(Outcome::Reset);
+      parser_->eager(true);
+    }
+    if (error && error != http::error::need_more) return fail(Outcome::Reset);
+    if (parser_->is_done()) return onRead({});
+    watch();
   }
 
   void onRead(error_code error) {
@@ -209,19 +256,24 @@
     watching_ = true;
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code) {
       self->watching_ = false;
-      if (self->job_ || self->closed_) return;
+      if (self->closed_) return;
+      if (self->job_) {
+        // Set while it was idle, or for an answer; while a request is being written there is nothing to read
+        // yet.
+        if (self->job_->written) self->readable();
+        return;
+      }
       if (!self->stands()) return self->close();
       self->watch();
     });
   }
 
   void limit(Clock::time_point until) {
-    timer_.expires_at(until);
-    timer_.async_wait([self = shared_from_this()](error_code cancelled) {
-      // A timer that was set anew since it ran out is not meant.
-      if (cancelled || self->closed_ || self->timer_.expiry() > Clock::now()) return;
-      if (!self->job_) return self->close();
-      self->fail(self->job_->written ? Outcome::Timeout : Outcome::ConnectFailed);
+    deadline_.set(until, [this] {
+      if (closed_) return;
+      const auto self = shared_from_this();
+      if (!job_) return close();
+      fail(job_->written ? Outcome::Timeout : Outcome::ConnectFailed);
     });
   }
 
@@ -229,9 +281,10 @@
   const UpstreamId upstream_;
   Endpoint address_;
   tcp::socket socket_;
-  asio::steady_timer timer_;
+  Deadlines::Deadline deadline_;
   beast::flat_buffer buffer_;
-  Message request_;
+  std::string text_;  // of the request, what is still to be written at the end
+  int interim_ = 0;   // informational answers to it so far
   std::optional<http::response_parser<http::string_body>> parser_;
   std::shared_ptr<Job> job_;
   Clock::time_point idleSince_;
@@ -243,6 +296,7 @@
     : io_(io),
       config_(config),
       callbacks_(std::move(callbacks)),
+      deadlines_(std::make_shared<Deadlines>(io)),
       maxConnections_(static_cast<std::size_t>(kUpstreamShare * static_cast<double>(config.sockets))),
       connectTimeout_(kDefaultConnectTimeout),
       idleTime_(kDefaultIdleTime) {
@@ -252,7 +306,9 @@
     idleTime_ = microseconds(static_cast<Micros>(kIdlePart * static_cast<double>(settings.idleClose)));
 }
 
-Upstreams::~Upstreams() = default;
+Upstreams::~Upstreams() {
+  deadlines_->stop();
+}
 
 void Upstreams::setAddress(UpstreamId upstream, const Endpoint& address) {
   if (upstream >= addresses_.size()) {
--- a/src/sidecar/upstreams.h
+++ b/src/sidecar/upstreams.h
@@ -21,6 +21,7 @@
 #include "client_request.h"
 #include "clock.h"
 #include "config.h"
+#include "deadlines.h"
 
 namespace ivypost {
 
@@ -56,7 +57,8 @@
 class Upstreams {
  public:
   struct Callbacks {
-    std::function<void(AttemptId)> written;  // its last byte has gone out
+    // Its last byte has gone out; the only one that may be called from within send().
+    std::function<void(AttemptId)> written;
     std::function<void(AttemptEnd)> ended;
     std::function<void(ProbeEnd)> probed;
   };
@@ -91,6 +93,7 @@
   boost::asio::io_context& io_;
   const Config& config_;
   Callbacks callbacks_;
+  const std::shared_ptr<Deadlines> deadlines_;  // of the connections
   std::size_t maxConnections_;
   Clock::duration connectTimeout_, idleTime_;
   std::vector<std::optional<Endpoint>> addresses_;              // by upstream; none: it has gone
