--- a/src/sidecar/deadlines.h
+++ b/src/sidecar/deadlines.h
@@ -24,10 +24,7 @@
   Deadlines& operator=(const Deadlines&) = delete;
 
   // No more callbacks: whoever they would call is about to go.
-  void stop() {
-    stopped_ = true;
-    timer_.cancel();
-  }
+  void stop() noexcept { stopped_ = true; }
 
   // One deadline. Dropped when it is destroyed.
   class Deadline {
@@ -72,7 +69,7 @@
     timer_.expires_at(armedFor_);
     timer_.async_wait([self = weak_from_this()](const boost::system::error_code& cancelled) {
       if (cancelled) return;
-      if (const auto all = self.lock()) all->pass();
+      if (const auto all = self.lock(); all && !all->stopped_) all->pass();
     });
   }
 
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -33,6 +33,7 @@
 
 }  // namespace
 
+// NOLINTNEXTLINE(bugprone-exception-escape): CLI11's own set-up may throw, and then ends the program.
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
   CLI::App app("A sidecar that passes an application's requests to booking nodes. Configured by GW_CONFIG.");
--- a/src/sidecar/upstreams.cpp
+++ b/src/sidecar/upstreams.cpp
@@ -30,7 +30,7 @@
 // buffer lets a large body's write stand still, so that the request is known never to have come whole.
 constexpr int kSendBuffer = 16 * 1024;
 // What is read of an answer at once.
-constexpr std::size_t kReadAtOnce = 8 * 1024;
+constexpr std::size_t kReadAtOnce = 8UL * 1024;
 // So many informational answers may come ahead of one.
 constexpr int kMaxInterim = 8;
 // Figures of a load report beyond this can't be meant.
--- /dev/null
+++ b/tests/deadlines_test.cpp
@@ -0,0 +1,79 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+#include "deadlines.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <vector>
+
+namespace ivypost {
+namespace {
+
+using std::chrono::milliseconds;
+using Deadline = Deadlines::Deadline;
+
+struct DeadlinesTest : testing::Test {
+  void run() {
+    io.restart();
+    io.run_for(std::chrono::seconds(10));  // ends when nothing is left to wait for
+  }
+  boost::asio::io_context io;
+  std::shared_ptr<Deadlines> all = std::make_shared<Deadlines>(io);
+  const Clock::time_point from = Clock::now();
+  std::vector<int> passed;
+};
+
+TEST_F(DeadlinesTest, PassOnceInTheirOrder) {
+  Deadline a(all), b(all), c(all), dropped(all);
+  a.set(from + milliseconds(30), [&] { passed.push_back(1); });
+  b.set(from + milliseconds(10), [&] { passed.push_back(2); });
+  c.set(from - milliseconds(10), [&] { passed.push_back(3); });
+  dropped.set(from + milliseconds(5), [&] { passed.push_back(4); });
+  dropped.cancel();
+  dropped.cancel();
+  run();
+  EXPECT_EQ(passed, (std::vector<int>{3, 2, 1}));
+  EXPECT_GE(Clock::now() - from, milliseconds(30));
+}
+
+TEST_F(DeadlinesTest, TheLastOneSetCounts) {
+  Deadline one(all);
+  one.set(from + milliseconds(1), [&] { passed.push_back(1); });
+  one.set(from + milliseconds(20), [&] { passed.push_back(2); });
+  one.set(from + milliseconds(10), [&] { passed.push_back(3); });
+  run();
+  EXPECT_EQ(passed, std::vector<int>{3});
+}
+
+// A callback sets its own deadline anew, drops another that is due too, and destroys itself.
+TEST_F(DeadlinesTest, ACallbackMayDoAnything) {
+  Deadline again(all), other(all);
+  auto self = std::make_unique<Deadline>(all);
+  again.set(from, [&] {
+    passed.push_back(1);
+    other.cancel();
+    again.set(Clock::now(), [&] { passed.push_back(2); });
+  });
+  other.set(from + milliseconds(0), [&] { passed.push_back(9); });
+  self->set(from, [&] {
+    passed.push_back(3);
+    self.reset();
+  });
+  run();
+  EXPECT_EQ(passed, (std::vector<int>{1, 3, 2}));
+}
+
+TEST_F(DeadlinesTest, NothingIsCalledBackAfterTheStopNorAfterItsEnd) {
+  Deadline left(all);
+  {
+    Deadline gone(all);
+    gone.set(from + milliseconds(1), [&] { passed.push_back(1); });
+  }
+  left.set(from + milliseconds(1), [&] { passed.push_back(2); });
+  all->stop();
+  run();
+  EXPECT_TRUE(passed.empty());
+}
+
+}  // namespace
+}  // namespace ivypost
--- a/tests/fleet/scenario_test.cpp
+++ b/tests/fleet/scenario_test.cpp
@@ -41,6 +41,18 @@
   EXPECT_EQ(scenario.events[2].target, 2u);
 }
 
+TEST(Scenario, ReadsPartsOfACoreAndOneTenantsLoad) {
+  const Scenario scenario =
+      parseScenario("cores = 0.1\noperator = \"op.toml\"\nconnections = 500\n" + kLeast +
+                        "[[tenant]]\nname = \"nalon\"\n[[event]]\ndo = \"load\"\nfactor = 5\n"
+                        "tenant = \"nalon\"\nfor = \"1s\"",
+                    "s");
+  EXPECT_EQ(scenario.cores, 0.1);
+  EXPECT_EQ(scenario.operatorFile, "op.toml");
+  EXPECT_EQ(scenario.connections, 500u);
+  EXPECT_EQ(scenario.events[0].tenant, "nalon");
+}
+
 TEST(Scenario, RefusesABadOneWithOneLine) {
   const std::vector<std::pair<std::string, std::string>> cases = {
       {"", "s:1: the key 'name' is missing"},
@@ -48,6 +60,9 @@
       {"name = \"n\"\n[[node]]", "s:1: no [[class]]"},
       {kLeast + "[[class]]\nname = \"a\"\neffect = \"safe\"",
        "s:7: class[2].name: a class of this name is there already"},
+      {"cores = 0\n" + kLeast, "s:1: cores: 0 is out of range; allowed is 0.01 to 1"},
+      {kLeast + "[[event]]\ndo = \"load\"\nfactor = 2\ntenant = \"x\"\nfor = \"1s\"",
+       "s:9: event[1].tenant: there is no [[tenant]] of this name"},
       {kLeast + "[[event]]\ndo = \"hang\"\nnode = 2\nfor = \"1s\"",
        "s:8: event[1].node: 2 is out of range; allowed is 1 to 1"},
       {kLeast + "[[event]]\ndo = \"hang\"\nnode = 1", "s:6: event[1]: the key 'for' is missing"},
--- a/tests/start_test.sh
+++ b/tests/start_test.sh
@@ -60,6 +60,7 @@
 grep -q 'op.toml:2: levels.on: 1 is neither true nor false$' "$dir/err" || fail "a bad file: $(cat "$dir/err")"
 if timeout 20 "$program" --bogus >/dev/null 2>&1; then fail 'an unknown option was taken'; fi
 "$program" --operator-example >"$dir/op.toml" || fail 'no example'
+diff "$dir/op.toml" "$(dirname "$0")/../deploy/operator.toml" || fail 'deploy/operator.toml is not the example'
 GW_CONFIG="$dir/config.json" "$program" --operator "$dir/op.toml" 2>"$dir/err" &
 pid=$!
 told 'ready on port'
