--- a/bench/request_cost.cpp
+++ b/bench/request_cost.cpp
@@ -226,5 +226,6 @@
   processes.clear();
   kill(child, SIGKILL);
   std::filesystem::remove(config);
+  std::fflush(stdout);
   std::_Exit(0);  // the node's thread serves for ever
 }
