--- a/src/fleet/scenario.h
+++ b/src/fleet/scenario.h
@@ -74,7 +74,8 @@
   std::vector<RequestClass> classes;
   std::vector<Tenant> tenants;
   double rate = 100;  // first tries a second, over all clients; they share it evenly
-  std::uint32_t connections = 0;  // of one sidecar's clients at the most; 0: a third of the sidecar's descriptors
+  std::uint32_t connections =
+      0;  // of one sidecar's clients at the most; 0: a third of the sidecar's descriptors
   std::uint32_t retries = 0;
   Micros backoff = 50'000;
   double impatient = 0;
