Looks: patience by zone, no figure yet is no crowding, dear looks refuse nothing

A trace of each answer showed all upstreams ready, nothing out, and exactly one look made. Three lines were at fault, each right by luck where nodes are 1 ms away, report every 5 ms and a look is cheap: a look's patience began at twice the resolution (10 ms; here another data centre is 20 to 40 ms away), an answer without a load report counted as crowding (here a first report takes a second), and one crowded look refused the request where the price leaves only one. Ruled out: limits and rests (none bound), discovery (lists were there).

Patience is now learned by zone, and before the first answer it is what a connection may take; an upstream that never reported is taken as it is; a request gives way only after as many crowded looks as its worth gives it, however few are paid for.

Each of the three tests fails without the change.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -168,6 +168,7 @@
   double logSlowness = 0;  // smoothed, of answer times against the usual of their class
   Micros slownessAt = 0;
   Micros reportedAt = 0;
+  bool reported = false;                                    // ever, what it has in hand
   std::optional<double> cpuShare;                           // as it last reported
   Micros shortestLag = std::numeric_limits<Micros>::max();  // of its answers
   double limit = kStartLimit;                               // of inFlight
@@ -254,6 +255,7 @@
     for (auto* usual : {&typicalLag_, &classAnswers_, &typicalTry_, &typicalWork_})
       usual->resize(settings_.classes.size());
     looks_ = settings_.mayProbe && settings_.reportsBusy && settings_.probePrice <= kMaxLookPrice;
+    lookLag_.resize(std::max<std::uint32_t>(1, settings_.zones));
     tenantUsage_.assign(settings_.tenants.size(), 0);
     settings_.resolution = std::max<Micros>(settings_.resolution, 1);
     settings_.startCapacity = within(settings_.startCapacity, 0.01, 1);
@@ -1008,14 +1010,20 @@
     return usualInFlight(calmLag_) < kBlindCount * static_cast<double>(listed_.size());
   }
 
+  // How long a look at this upstream is waited for, by the usual time of one into its zone: another data
+  // centre is far. Before one was answered from there it is what a connection may take.
+  Micros lookPatience(const Upstream& upstream) const {
+    const double usual = lookLag_[upstream.zone];
+    const auto patience = usual > 0 ? static_cast<Micros>(kLookPatience * usual) : settings_.connectTimeout;
+    return std::max(patience, 2 * settings_.resolution);
+  }
+
   // Guards against blind picks of many sidecars with little traffic each: own counts are nearly all zero and
   // tell nothing of what the others send. The pick stands unless the upstream proves not to be ready.
   void look(RequestId id, Request& request, UpstreamId to) {
     if (request.looks++ == 0) wakes_.push({request.holdUntil, id, Wake::What::Hold});
     request.lookAt = to;
-    const double patience =
-        std::max(kLookPatience * lookLag_, 2.0 * static_cast<double>(settings_.resolution));
-    request.lookUntil = now_ + static_cast<Micros>(patience);
+    request.lookUntil = now_ + lookPatience(upstreams_[to]);
     wakes_.push({request.lookUntil, id, Wake::What::Look});
     looking_.push_back(id);
     act(Probe{to});
@@ -1023,14 +1031,17 @@
 
   void on(const ProbeResult& event) {
     if (event.upstream >= upstreams_.size()) return;
-    smooth(lookLag_, static_cast<double>(event.lag), kLagGain);
     Upstream& upstream = upstreams_[event.upstream];
+    double& lookLag = lookLag_[upstream.zone];
+    smooth(lookLag, static_cast<double>(event.lag), lookLag > 0 ? kLagGain : 1);
     if (event.report) learnReport(upstream, *event.report);
     const double usual = usualBusy_;
     const double busy = event.report ? event.report->busyRequests.value_or(-1) / upstream.size : -1;
     if (busy >= 0) smooth(usualBusy_, busy, usual < 0 ? 1 : kLagGain);
     endLooks([&](const Request& request) { return request.lookAt == event.upstream; },
              [&](const Request& request) {
+               // One that has no figures yet is not crowded for that: reports may be far between.
+               if (event.ok && !upstream.reported) return Verdict::Room;
                if (!event.ok || busy < 0 || isCrowded(request, upstream, *event.report))
                  return Verdict::Crowded;
                return usual >= 0 && busy > usual ? Verdict::Busier : Verdict::Room;
@@ -1048,6 +1059,7 @@
       if (upstream.zone == settings_.zone) smooth(ownZoneCpu_, *upstream.cpuShare, kFailureGain);
     }
     if (!report.busyRequests) return;
+    upstream.reported = true;
     double atOnce = 0;
     if (report.queued && *report.queued >= 1) {
       atOnce = *report.busyRequests - *report.queued;
@@ -1061,12 +1073,15 @@
       smooth(atOnce_, atOnce, atOnce_ <= 0 ? 1 : atOnce < atOnce_ ? kAtOnceFalls : kAtOnceRises);
   }
 
-  // The less a request is worth against the worthiest, the fewer looks: when looks find crowding, it gives
-  // way.
+  // The less a request is worth against the worthiest, the fewer of so many looks.
+  int looksOf(double most, const Request& request) const {
+    return std::max(1, static_cast<int>(std::ceil(std::floor(most) * relativeWorth(request))));
+  }
   int looksFor(const Request& request) const {
-    const double looks = std::min(kMaxLooks, kMaxLookPrice / std::max(1e-9, settings_.probePrice));
-    return std::max(1, static_cast<int>(std::ceil(std::floor(looks) * relativeWorth(request))));
+    return looksOf(std::min(kMaxLooks, kMaxLookPrice / std::max(1e-9, settings_.probePrice)), request);
   }
+  // When looks find crowding, it gives way; where they are dear, fewer looks prove nothing of the others.
+  bool givesWay(const Request& request) const { return request.looks >= looksOf(kMaxLooks, request); }
 
   // Crowded, if what is in hand takes it too long; busier, if it has more in hand for its size than those
   // looked at before.
@@ -1101,9 +1116,9 @@
         continue;
       }
       // One that is only busier than usual is left out of this request's other looks.
-      if (verdict == Verdict::Busier) rest(upstreams_[at], kMaxLooks * lookLag_);
+      if (verdict == Verdict::Busier) rest(upstreams_[at], kMaxLooks * lookLag_[upstreams_[at].zone]);
       if (verdict == Verdict::Crowded) rest(upstreams_[at], typicalLag_[request.requestClass]);
-      if (lastLook && verdict == Verdict::Crowded) {
+      if (lastLook && verdict == Verdict::Crowded && givesWay(request)) {
         answer(id, request);
       } else {
         dispatch(id, request);
@@ -1250,7 +1265,7 @@
   std::size_t open_ = 0;
   bool looks_ = false;              // upstreams are looked at before they are sent to
   std::vector<RequestId> looking_;  // wait for a look
-  double lookLag_ = 0;              // smoothed time of a look
+  std::vector<double> lookLag_;     // smoothed time of a look, by zone; 0: none was answered yet
   double usualBusy_ = -1;           // smoothed, of requests in hand for the size, as reported
   bool statedBudget_ = false;       // the settings state a retry budget
   RetryBudget budget_;
--- a/tests/many_test.cpp
+++ b/tests/many_test.cpp
@@ -415,6 +415,84 @@
   EXPECT_NE(rig.first<Probe>().upstream, silent);
 }
 
+// Found on corrib-quotes: data centres 20 ms apart, reports refreshed once a second, and a price that leaves
+// one look a request. Nearly all first looks were given up before they could be back.
+TEST(Looks, AreWaitedForAsLongAsTheUpstreamsZoneIsFar) {
+  constexpr Micros kFar = 40 * kMs;
+  Settings s = lookingSettings();
+  s.connectTimeout = 250 * kMs;
+  Rig rig(s);
+  rig.start(10);
+  // Whether a look at that one is given up by now: another one follows.
+  const auto givenUp = [&](Micros after) {
+    rig.wait(after);
+    return rig.count<Probe>() + rig.count<Send>() > 0;
+  };
+  std::map<std::uint32_t, Micros> lagOf{{0, kMs}, {1, kFar}};
+  std::set<std::uint32_t> tried;
+  for (RequestId id = 1; id <= 40; ++id) {
+    rig.request(id);
+    ASSERT_EQ(rig.count<Probe>(), 1u);
+    const UpstreamId to = rig.first<Probe>().upstream;
+    const std::uint32_t zone = to % 2;  // as serving() has it
+    const bool first = tried.insert(zone).second;
+    const Micros patience = first ? s.connectTimeout : 4 * lagOf[zone];
+    EXPECT_FALSE(givenUp(std::max(patience, 2 * s.resolution) - 1)) << "zone " << zone << " request " << id;
+    ProbeResult idle{to, true, lagOf[zone], LoadReport{}};
+    idle.report->busyRequests = 0;
+    rig.feed(idle);
+    ASSERT_EQ(rig.count<Send>(), 1u);
+    rig.now += 50 * kMs;
+    rig.outcome(id, to, Outcome::Ok);
+    rig.now += kSecond;
+  }
+  EXPECT_EQ(tried.size(), 2u);
+}
+
+TEST(Looks, AnUpstreamWithoutFiguresYetIsNotCrowdedButOneWithoutThemAnyMoreIs) {
+  Rig rig(lookingSettings());
+  rig.start(1);
+  const auto look = [&](RequestId id, bool ok, std::optional<double> busy) {
+    rig.request(id);
+    EXPECT_EQ(rig.count<Probe>(), 1u);
+    ProbeResult r{0, ok, kMs, std::nullopt};
+    if (busy) r.report.emplace().busyRequests = busy;
+    rig.feed(r);
+    const bool sent = rig.count<Send>() == 1;
+    if (sent) rig.outcome(id, 0, Outcome::Ok);
+    rig.now += kSecond;
+    return sent;
+  };
+  EXPECT_TRUE(look(1, true, std::nullopt)) << "its first report may be a second away";
+  EXPECT_FALSE(look(2, false, std::nullopt)) << "it did not answer well";
+  rig.now += 10 * kSecond;
+  EXPECT_TRUE(look(3, true, 0));
+  EXPECT_FALSE(look(4, true, std::nullopt)) << "it had figures before";
+}
+
+TEST(Looks, WhereTheyAreDearOneCrowdedLookRefusesNothing) {
+  for (const double price : {0.004, 0.008, 0.01, 0.016}) {
+    Settings s = lookingSettings();
+    s.worthByWork = true;
+    s.probePrice = price;
+    s.classes[kUnsafe].value = 0.1;
+    const std::size_t affordable = price < 0.005 ? 4 : price < 0.009 ? 2 : 1;
+    for (const std::uint32_t cls : {kSafe, kUnsafe}) {
+      Rig rig(s);
+      rig.start(10);
+      const bool worthy = cls == kSafe;
+      rig.request(1, cls);
+      std::size_t looks = 0;
+      for (; rig.count<Probe>() == 1; ++looks) report(rig, rig.first<Probe>().upstream, 12);
+      EXPECT_EQ(looks, worthy ? affordable : 1) << price;
+      // What is worth the least gives way after one look at any price.
+      const bool refused = !worthy || affordable == 4;
+      EXPECT_EQ(rig.count<Refuse>(), refused ? 1u : 0u) << price;
+      EXPECT_EQ(rig.count<Send>(), refused ? 0u : 1u) << price;
+    }
+  }
+}
+
 TEST(Looks, AnUpstreamThatDrainsMeanwhileGetsNothing) {
   Rig rig(lookingSettings());
   rig.start(10);
