Refusals say when to come back, where the settings allow it

The advice is the time in which what is out and what is held is answered at the pace of now (Little's law), half to one and a half times of it by chance, no more than the settings' most.

--- a/include/orchiddrum/balancer.h
+++ b/include/orchiddrum/balancer.h
@@ -24,9 +24,9 @@
 // Probes. Probe asks for one ProbeResult, whatever comes of it; a result that never comes is given up.
 //
 // Not decided on yet. Some settings are part of the interface, but no decision reads them: kinds (checked
-// only), keysWarm and with it key, connectTimeout, maxOpen, maxRetryAfter, retryAfter,
-// reports, wastePrice, answerSlack, drainGrace, fallWindow, quotaPerSecond. The module is stricter than the
-// last ones ask: it answers by the deadline, stops sending at once, and keeps slow start over any window.
+// only), keysWarm and with it key, maxOpen, reports, wastePrice, answerSlack, drainGrace, fallWindow,
+// quotaPerSecond. The module is stricter than the last ones ask: it answers by the deadline, stops sending at
+// once, and keeps slow start over any window.
 //
 // Misuse. handle() throws std::invalid_argument, and changes nothing, for a class, zone or tenant index
 // outside the settings, a request id that is already open, a negative or infinite size (zero: unknown, taken
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -907,10 +907,17 @@
       shedding_ = true;
       shedAt_ = now_;
     }
-    may.refuse ? act(Refuse{id, 0}) : act(Fail{id});
+    may.refuse ? act(Refuse{id, comeBack()}) : act(Fail{id});
     close(id, request);
   }
 
+  // When what is out and what is held will be answered at the pace of now (Little's law), spread in time.
+  Micros comeBack() {
+    const auto most = static_cast<double>(settings_.retryAfter ? settings_.maxRetryAfter : 0);
+    const double wait = overallLag_ * (1 + static_cast<double>(held_.size() + 1) / std::max(1.0, out_));
+    return most < 1 ? 0 : static_cast<Micros>(within(wait * (0.5 + uniform()), 1, most));
+  }
+
   // The request is over: what is still out for it serves nobody.
   void close(RequestId id, Request& request) {
     if (!request.over) --open_;
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -1286,6 +1286,39 @@
   }
 }
 
+TEST(Answers, ARefusalSaysWhenToComeBackWhereClientsListen) {
+  const auto refusedAfter = [](Settings s, RequestId held, std::uint64_t seed) {
+    Rig rig(s, seed);
+    rig.start(1);
+    RequestId id = 1;
+    for (; id <= 50; ++id) {
+      rig.sent(id);
+      rig.now += 20 * kMs;
+      rig.outcome(id, 0, Outcome::Ok);
+    }
+    while (rig.balancer.ready(0, rig.now)) rig.sent(++id);  // all that fits is out
+    for (RequestId n = 0; n < held; ++n) rig.request(++id);
+    rig.request(++id, kSafe, 0);
+    EXPECT_EQ(rig.count<Refuse>(), 1u);
+    return rig.first<Refuse>().retryAfter;
+  };
+  Settings s = plainSettings();
+  Micros fewest = kSecond, most = 0, short_ = 0, long_ = 0;
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    const Micros wait = refusedAfter(s, 0, seed);
+    fewest = std::min(fewest, wait);
+    most = std::max(most, wait);
+    short_ += wait;
+    long_ += refusedAfter(s, 30, seed);
+    EXPECT_LE(refusedAfter(s, 1000, seed), s.maxRetryAfter);
+  }
+  EXPECT_GE(fewest, 10 * kMs) << "half an answer time at the least";
+  EXPECT_GT(most, 2 * fewest) << "spread, so that not all come at once";
+  EXPECT_GT(long_, 2 * short_) << "the more is held, the later";
+  s.retryAfter = false;
+  EXPECT_EQ(refusedAfter(s, 30, 1), 0);
+}
+
 TEST(Answers, WithdrawnRequestsAreLeftAlone) {
   Rig rig;
   rig.start(2);
