Bound the table of trace ids: 16,384 past ones, in a room of its own

The ids of requests that were over lately were bounded by time alone (3 s): as many as came. They are now a class without I/O (src/admission/trace_ids) that remembers 16,384 at the most, about 1 MB, and forgets the longest over first; open ones never give way, however long their deadline.

--- /dev/null
+++ b/src/admission/trace_ids.h
@@ -0,0 +1,48 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// Which trace ids are taken: those of open requests, and of those that were over lately. A second request
+// under the id of an open one may be read only when that one is over, and would mix with its attempts. No I/O
+// and no clock.
+//
+// Bounds: open ids are bounded by whoever opens requests (one for each client's connection); of those that
+// are over kMost are remembered, each for kMemory. Beyond that the longest over is forgotten early: about 70
+// bytes an id, and more requests in kMemory than a whole core can answer.
+#ifndef IVYPOST_ADMISSION_TRACE_IDS_H_
+#define IVYPOST_ADMISSION_TRACE_IDS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <unordered_set>
+#include <utility>
+
+namespace ivypost::admission {
+
+using Micros = std::int64_t;
+
+class TraceIds {
+ public:
+  // Longer than a full core delays reading, in microseconds.
+  static constexpr Micros kMemory = 3'000'000;
+  static constexpr std::size_t kMost = 16'384;
+
+  // False if a request that is open, or was over lately, has this id; else it is open from now on.
+  bool open(std::uint64_t id, Micros now);
+  // Whether open() would take it.
+  bool isFree(std::uint64_t id, Micros now);
+  // The request under this id is over. Ignored for one that is not open.
+  void over(std::uint64_t id, Micros now);
+
+  // Ids held: open ones and those remembered.
+  std::size_t size() const { return open_.size() + past_.size(); }
+
+ private:
+  void forget(Micros now);
+
+  std::unordered_set<std::uint64_t> open_, past_;
+  std::deque<std::pair<Micros, std::uint64_t>> order_;  // of past_, the longest over first
+};
+
+}  // namespace ivypost::admission
+
+#endif  // IVYPOST_ADMISSION_TRACE_IDS_H_
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -49,9 +49,6 @@
 constexpr milliseconds kKernelTick{10};
 // The longest time that a client may ask for, so that sums of times stay far from overflow.
 constexpr std::int64_t kMaxExpiresInMs = 3'600'000;
-// A second request under the id of an open one may be read when that one is over: ids are remembered longer
-// than a full core delays reading.
-constexpr milliseconds kTraceMemory{3000};
 // New connections go on coming for up to 0.4 s after SIGTERM.
 constexpr milliseconds kAcceptAfterStop{500};
 // SIGKILL comes no sooner than the longest deadline (3 s) and 0.7 s after SIGTERM.
@@ -343,7 +340,7 @@
     request_ = request.id;
     arrivedAt_ = request.arrived;
     trace_ = request.trace;
-    server_.traces_.insert(trace_);
+    server_.traces_.open(trace_, now());
     server_.open_.emplace(request_, shared_from_this());
     watch();
     // Guards the last answer against everything else: a late timer, a full core, a module that is wrong.
@@ -499,17 +496,10 @@
 
 bool Server::endRequest(const Session& session) {
   if (open_.erase(session.request()) == 0) return false;
-  pastTraces_.emplace_back(Clock::now(), session.trace());
+  traces_.over(session.trace(), now());
   return true;
 }
 
-void Server::forgetTraces() {
-  while (!pastTraces_.empty() && Clock::now() - pastTraces_.front().first > kTraceMemory) {
-    traces_.erase(pastTraces_.front().second);
-    pastTraces_.pop_front();
-  }
-}
-
 Answer Server::plain(unsigned status, std::string text) const {
   Answer answer;
   answer.status = status;
@@ -593,8 +583,7 @@
   const auto trace = header(message, "X-Trace-Id").value_or("");
   const auto id = trace.size() == 16 ? toNumber<std::uint64_t>(trace, 16) : std::nullopt;
   if (!id) return plain(400, "X-Trace-Id is missing or has not 16 hexadecimal digits");
-  forgetTraces();
-  if (traces_.count(*id) > 0) return plain(400, "X-Trace-Id is or was lately another request's");
+  if (!traces_.isFree(*id, now())) return plain(400, "X-Trace-Id is or was lately another request's");
   request.trace = *id;
 
   const auto expires = toNumber<std::int64_t>(header(message, "X-Expires-In-Ms").value_or(""));
--- a/src/sidecar/server.h
+++ b/src/sidecar/server.h
@@ -9,17 +9,16 @@
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <utility>
 #include <variant>
 
 #include "admission/door.h"
+#include "admission/trace_ids.h"
 #include "client_request.h"
 #include "clock.h"
 #include "config.h"
@@ -79,7 +78,6 @@
   void closeAcceptor();
   // The request is over. False if it was before.
   bool endRequest(const Session& session);
-  void forgetTraces();
   void finish(Clock::time_point lingerUntil, Clock::time_point stopBy);
 
   // What the request reads as, or the answer it gets at once.
@@ -108,8 +106,7 @@
   std::unordered_map<admission::VisitorId, std::shared_ptr<Session>> sessions_;
   orchiddrum::RequestId lastId_ = 0;
   std::unordered_map<orchiddrum::RequestId, std::shared_ptr<Session>> open_;
-  std::unordered_set<std::uint64_t> traces_;  // X-Trace-Ids that are open or were lately
-  std::deque<std::pair<Clock::time_point, std::uint64_t>> pastTraces_;  // the longest over first
+  admission::TraceIds traces_;
 };
 
 }  // namespace ivypost
