Reuse a connection that has settled rather than one that has just answered

In a trace 69 of 136 resets were on connections reused within 25 ms of their last answer. The last used connection that has been idle for 25 ms goes first now, the last used of all only where none has. The choice is a function without I/O, tested by a table.

--- /dev/null
+++ b/src/sidecar/idle_choice.h
@@ -0,0 +1,34 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// Which of an upstream's idle connections carries the next request. No I/O and no clock.
+//
+// The one used last is the least likely to have been closed for being idle, and lets the others idle out. But
+// some upstreams close right behind an answer without having said so, and a request that crosses that close
+// fails, or for one that must not run twice fails for good. So one that has just answered is passed over for
+// the last used that has settled, where there is one.
+#ifndef IVYPOST_IDLE_CHOICE_H_
+#define IVYPOST_IDLE_CHOICE_H_
+
+#include <cstddef>
+#include <vector>
+
+#include "clock.h"
+
+namespace ivypost {
+
+// On corrib-quotes all of 605 such closes came within 25 ms of the answer.
+constexpr std::chrono::milliseconds kSettles{25};
+
+// An index into `idle`, which must not be empty and is in the order in which they became idle, the longest
+// first. `since(one)` tells when one did.
+template <class Connection, class Since>
+std::size_t chooseIdle(const std::vector<Connection>& idle, Clock::time_point now, Since since) {
+  for (std::size_t n = idle.size(); n-- > 0;) {
+    if (now - since(idle[n]) >= kSettles) return n;
+  }
+  return idle.size() - 1;
+}
+
+}  // namespace ivypost
+
+#endif  // IVYPOST_IDLE_CHOICE_H_
--- a/src/sidecar/upstreams.cpp
+++ b/src/sidecar/upstreams.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include "framing.h"
+#include "idle_choice.h"
 #include "request_form.h"
 
 namespace ivypost {
@@ -373,14 +374,15 @@
   fresh->open(std::move(job));
 }
 
-// The last used is the least likely to be closed by the upstream, and lets the others idle out.
 std::shared_ptr<Upstreams::Connection> Upstreams::reuse(UpstreamId upstream) {
   auto& idle = idle_[upstream];
+  const auto since = [](const auto& one) { return one->idleSince(); };
   while (!idle.empty()) {
-    auto last = idle.back();
-    idle.pop_back();
-    if (last->stands()) return last;
-    last->close();
+    const auto at = idle.begin() + static_cast<std::ptrdiff_t>(chooseIdle(idle, Clock::now(), since));
+    const auto chosen = *at;
+    idle.erase(at);
+    if (chosen->stands()) return chosen;
+    chosen->close();
   }
   return nullptr;
 }
--- /dev/null
+++ b/tests/idle_choice_test.cpp
@@ -0,0 +1,32 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+#include "idle_choice.h"
+
+#include <gtest/gtest.h>
+
+namespace ivypost {
+namespace {
+
+TEST(IdleChoice, TheLastUsedThatHasSettled) {
+  using std::chrono::milliseconds;
+  struct Row {
+    std::vector<int> idleForMs;  // the longest first
+    std::size_t chosen;
+  };
+  const std::vector<Row> table = {
+      {{0}, 0},               // a fresh one is better than a new connection
+      {{400}, 0},             //
+      {{400, 30}, 1},         // the last used
+      {{400, 30, 24}, 1},     // but not one that may be closing
+      {{400, 25, 24, 0}, 1},  // at the edge
+      {{400, 24, 3, 0}, 0},   //
+      {{24, 3, 0}, 2},        // none has settled
+  };
+  const Clock::time_point now{std::chrono::hours(1)};
+  for (const Row& row : table) {
+    const auto since = [&](int ms) { return now - milliseconds(ms); };
+    EXPECT_EQ(chooseIdle(row.idleForMs, now, since), row.chosen) << testing::PrintToString(row.idleForMs);
+  }
+}
+
+}  // namespace
+}  // namespace ivypost
