--- a/src/sidecar/upstreams.cpp
+++ b/src/sidecar/upstreams.cpp
@@ -379,7 +379,7 @@
   const auto since = [](const auto& one) { return one->idleSince(); };
   while (!idle.empty()) {
     const auto at = idle.begin() + static_cast<std::ptrdiff_t>(chooseIdle(idle, Clock::now(), since));
-    const auto chosen = *at;
+    auto chosen = *at;
     idle.erase(at);
     if (chosen->stands()) return chosen;
     chosen->close();
