--- a/bench/request_cost.cpp
+++ b/bench/request_cost.cpp
@@ -12,16 +12,12 @@
 #include <boost/beast.hpp>
 #include <cstdio>
 #include <cstdlib>
-#include <filesystem>
-#include <fstream>
 #include <functional>
 #include <memory>
-#include <nlohmann/json.hpp>
 #include <string>
-#include <thread>
 #include <vector>
 
-#include "fleet/process.h"
+#include "one_node.h"
 
 namespace {
 
@@ -29,9 +25,9 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
+using ivypost::bench::kAny;
 
 constexpr int kConnections = 16, kRequests = 16'000, kRounds = 7;
-const tcp::endpoint kAny(asio::ip::address_v4::loopback(), 0);
 
 // Bytes from one socket to the other, and nothing else.
 struct Pipe : std::enable_shared_from_this<Pipe> {
@@ -69,34 +65,11 @@
   std::_Exit(0);
 }
 
-struct NodeLine : std::enable_shared_from_this<NodeLine> {
-  explicit NodeLine(tcp::socket s) : socket(std::move(s)) {}
-  void run() {
-    asio::async_read_until(
-        socket, buffer, "\r\n\r\n", [self = shared_from_this()](error_code error, std::size_t n) {
-          if (error) return;
-          self->buffer.consume(n);
-          static const std::string kAnswer =
-              "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nok";
-          asio::async_write(self->socket, asio::buffer(kAnswer), [self](error_code failed, std::size_t) {
-            if (!failed) self->run();
-          });
-        });
-  }
-  tcp::socket socket;
-  asio::streambuf buffer{65536};
-};
-
 struct ClientLine : std::enable_shared_from_this<ClientLine> {
   ClientLine(asio::io_context& io, int& budget) : socket(io), left(budget) {}
   void run() {
     if (left-- <= 0) return socket.close();
-    static std::uint64_t id = 0;
-    std::array<char, 17> trace{};
-    std::snprintf(trace.data(), trace.size(), "%016llx", static_cast<unsigned long long>(++id));
-    text =
-        "GET /consulta/7 HTTP/1.1\r\nHost: s\r\nX-Qos: consulta\r\nX-Trace-Id: " + std::string(trace.data()) +
-        "\r\nX-Expires-In-Ms: 1000\r\n\r\n";
+    text = ivypost::bench::nextRequest();
     asio::async_write(
         socket, asio::buffer(text), [self = shared_from_this()](error_code failed, std::size_t) {
           if (failed) return;
@@ -151,63 +124,29 @@
     std::fprintf(stderr, "request_cost: name the program ivypost\n");
     return 2;
   }
-  asio::io_context nodeIo(1), relayIo(1), io(1);
-  tcp::acceptor node(nodeIo, kAny), door(relayIo, kAny);
+  asio::io_context relayIo(1), io(1);
+  tcp::acceptor door(relayIo, kAny);
   const auto relayPort = door.local_endpoint().port();
+  int nodePort[2];  // from the parent, whose node's thread must not be there when it forks
+  if (pipe(nodePort) != 0) std::abort();
   const pid_t child = fork();
   if (child == 0) {
     prctl(PR_SET_PDEATHSIG, SIGKILL);
-    relay(door, relayIo, node.local_endpoint());
-  }
-  std::function<void()> accept = [&] {
-    node.async_accept([&](error_code error, tcp::socket socket) {
-      if (error) return;
-      socket.set_option(tcp::no_delay(true));
-      std::make_shared<NodeLine>(std::move(socket))->run();
-      accept();
-    });
-  };
-  accept();
-  std::thread serving([&] { nodeIo.run(); });
-
-  const std::string config =
-      std::filesystem::temp_directory_path() / ("request_cost-" + std::to_string(getpid()));
-  const nlohmann::json file = {
-      {"name", "s1"},
-      {"listen", "127.0.0.1:0"},
-      {"discovery", "127.0.0.1:1"},
-      {"seed", "5"},
-      {"known",
-       {{"generation", 1},
-        {"reset", true},
-        {"instances",
-         {{{"instanceId", "n1"},
-           {"hostPort", "127.0.0.1:" + std::to_string(node.local_endpoint().port())},
-           {"lifecycle", "up"},
-           {"weight", 1.0},
-           {"startedAtMs", 0}}}}}},
-      {"settings",
-       {{"balancers", 1},
-        {"classes",
-         {{{"name", "consulta"}, {"aim", 500'000}, {"deadline", 1'000'000}, {"semantics", "free"}}}},
-        {"limits", {{"maxAttempts", 3}, {"idleClose", 30'000'000}}}}}};
-  std::ofstream(config) << file.dump();
-  std::vector<std::unique_ptr<ivypost::fleet::Process>> processes;
-  std::vector<std::uint16_t> ports(static_cast<std::size_t>(argc - 1));
-  for (int n = 1; n < argc; ++n) {
-    auto& port = ports[static_cast<std::size_t>(n - 1)];
-    processes.push_back(std::make_unique<ivypost::fleet::Process>(
-        io, argv[n], std::vector<std::string>{}, std::vector<std::string>{"GW_CONFIG=" + config},
-        [&port](const std::string& line) {
-          if (line.rfind("ready on port ", 0) == 0)
-            port = static_cast<std::uint16_t>(std::stoi(line.substr(14)));
-        }));
-    for (int tries = 0; port == 0 && tries < 100; ++tries) io.run_one_for(std::chrono::milliseconds(100));
+    std::uint16_t port = 0;
+    if (read(nodePort[0], &port, sizeof port) != sizeof port) std::_Exit(1);
+    relay(door, relayIo, {asio::ip::address_v4::loopback(), port});
   }
+  ivypost::bench::OneNode node;
+  const std::uint16_t port = node.address().port();
+  if (write(nodePort[1], &port, sizeof port) != sizeof port) std::abort();
+  std::vector<std::unique_ptr<ivypost::bench::OneSidecar>> sidecars;
+  for (int n = 1; n < argc; ++n)
+    sidecars.push_back(std::make_unique<ivypost::bench::OneSidecar>(io, argv[n], node.address(), 1024));
   std::vector<std::vector<double>> figures(static_cast<std::size_t>(argc));
   for (int round = 0; round <= kRounds; ++round) {
     for (std::size_t n = 0; n < figures.size(); ++n) {
-      const double one = n == 0 ? cost(child, relayPort) : cost(processes[n - 1]->id(), ports[n - 1]);
+      const double one =
+          n == 0 ? cost(child, relayPort) : cost(sidecars[n - 1]->process().id(), sidecars[n - 1]->port());
       if (round > 0) figures[n].push_back(one);  // the first warms up
     }
   }
@@ -223,9 +162,8 @@
                 median(figures[n]), median(ratios), *std::min_element(ratios.begin(), ratios.end()),
                 *std::max_element(ratios.begin(), ratios.end()));
   }
-  processes.clear();
+  sidecars.clear();
   kill(child, SIGKILL);
-  std::filesystem::remove(config);
   std::fflush(stdout);
   std::_Exit(0);  // the node's thread serves for ever
 }
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -8,7 +8,7 @@
 stage() { printf '== %4d s: %s\n' "$SECONDS" "$1"; }
 
 stage "format and sizes"
-sources=$(git ls-files 'include/*.h' 'src/*.h' 'src/*.cpp' 'tools/*.h' 'tools/*.cpp' 'tests/*.h' 'tests/*.cpp' 'bench/*.cpp')
+sources=$(git ls-files 'include/*.h' 'src/*.h' 'src/*.cpp' 'tools/*.h' 'tools/*.cpp' 'tests/*.h' 'tests/*.cpp' 'bench/*.h' 'bench/*.cpp')
 # shellcheck disable=SC2086
 clang-format --dry-run --Werror $sources
 # shellcheck disable=SC2086
