--- a/src/admission/trace_ids.cpp
+++ b/src/admission/trace_ids.cpp
@@ -5,24 +5,26 @@
 
 bool TraceIds::isFree(std::uint64_t id, Micros now) {
   forget(now);
-  return open_.count(id) == 0 && past_.count(id) == 0;
+  return ids_.count(id) == 0;
 }
 
 bool TraceIds::open(std::uint64_t id, Micros now) {
-  return isFree(id, now) && open_.insert(id).second;
+  forget(now);
+  return ids_.emplace(id, false).second;
 }
 
 void TraceIds::over(std::uint64_t id, Micros now) {
-  if (open_.erase(id) == 0) return;
-  past_.insert(id);
-  order_.emplace_back(now, id);
+  const auto found = ids_.find(id);
+  if (found == ids_.end() || found->second) return;
+  found->second = true;
+  past_.emplace_back(now, id);
   forget(now);
 }
 
 void TraceIds::forget(Micros now) {
-  while (!order_.empty() && (order_.size() > kMost || now - order_.front().first > kMemory)) {
-    past_.erase(order_.front().second);
-    order_.pop_front();
+  while (!past_.empty() && (past_.size() > kMost || now - past_.front().first > kMemory)) {
+    ids_.erase(past_.front().second);
+    past_.pop_front();
   }
 }
 
--- a/src/admission/trace_ids.h
+++ b/src/admission/trace_ids.h
@@ -13,7 +13,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <unordered_set>
+#include <unordered_map>
 #include <utility>
 
 namespace ivypost::admission {
@@ -34,13 +34,13 @@
   void over(std::uint64_t id, Micros now);
 
   // Ids held: open ones and those remembered.
-  std::size_t size() const { return open_.size() + past_.size(); }
+  std::size_t size() const { return ids_.size(); }
 
  private:
   void forget(Micros now);
 
-  std::unordered_set<std::uint64_t> open_, past_;
-  std::deque<std::pair<Micros, std::uint64_t>> order_;  // of past_, the longest over first
+  std::unordered_map<std::uint64_t, bool> ids_;        // whether it is over
+  std::deque<std::pair<Micros, std::uint64_t>> past_;  // those that are, the longest over first
 };
 
 }  // namespace ivypost::admission
