Cold upstreams earn their part of what all can do now, and are drawn when they have it

A trace of all hundred sidecars by second: of some 1,550 attempts a second 50 went to the new ones, which answered in 25 ms, while the 24 old ones rose from 50 to 290 ms; then 1,200 requests a second were refused after 0.3 s without an attempt. Ruled out by the same trace: ejections, pauses and silence (none at a refusal), own limits (5 to 10 of 60). The refusals come from wholeLimit_, which only follows the crowding.

Cause: earnColdCredit() gave a new upstream an attempt in some ten seconds from each sidecar, by its part of all of them warm, and draw() left it a share of the 2% for upstreams away from home: it was warm before the credit was spent. With few sidecars credits come often and nobody saw it.

Now the credit follows the part of what all can do at present (at most 1.5 times the part of a warm fleet, which stays below the rule), is kept up to one attempt, isn't earned at rest, and one that has it is drawn with odds of an eighth of all warm ones.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -1,9 +1,8 @@
 // Copyright 2026 The orchiddrum authors. SPDX-License-Identifier: Apache-2.0
 //
 // All decisions of orchiddrum. The interface (settings, events, actions) is include/orchiddrum/balancer.h.
-// Parts, in order: repeat rules and budget, draw odds and the pick, slow
-// start, concurrency limits, health, membership and readiness, connections and home, attempts and answers,
-// looks, admission and fairness, timers.
+// Parts, in order: repeat rules and budget, draw odds and the pick, slow start, concurrency limits, health,
+// membership and readiness, connections and home, attempts and answers, looks, admission, timers.
 #include "orchiddrum/balancer.h"
 
 #include <algorithm>
@@ -21,11 +20,14 @@
 
 constexpr UpstreamId kNone = static_cast<UpstreamId>(-1);
 
-// Unspent slow-start credit kept at most, in attempts: an idle minute must not buy a burst on a cold
-// upstream.
-constexpr double kMaxColdCredit = 2;
-// After a failed call to discovery the next one waits between a half and all of this part of askWithin,
-// doubled for each further failure: four calls fit before the list would count as told.
+// Unspent slow-start credit kept at most, in attempts: every sidecar may hold as much.
+constexpr double kMaxColdCredit = 1;
+// A cold upstream may get so many times the load that a warm one has while all are warm.
+constexpr double kMaxColdShare = 1.5;
+// Odds of a cold upstream that has its credit, against all warm ones together: its turn has come already.
+constexpr double kColdOdds = 0.125;
+// After a failed call to discovery the next waits up to this part of askWithin, doubled for each further
+// failure: four calls fit before the list would count as told.
 constexpr double kDiscoveryRetry = 1.0 / 16;
 constexpr int kDiscoveryMaxDoublings = 2;
 
@@ -57,20 +59,19 @@
 constexpr double kRetryRatio = 0.2;
 constexpr Micros kRetryLookBack = 5'000'000;
 
-// So many attempts in a row that meet crowding, at whatever upstreams, are chance; more rest the whole
-// sidecar. Crowding is a refusal, a time-out, or an answer that took more than this part of its aim.
+// So many attempts in a row that meet crowding (a refusal, a time-out, or an answer that took more than this
+// part of its aim), at whatever upstreams, are chance; more rest the whole sidecar.
 constexpr int kCrowdedBeforeRest = 2;
 constexpr double kCrowdedAim = 0.5;
 
-// Health. The failure rate of an upstream is smoothed with this weight for one outcome, and it is ejected
-// when the rate is this far above that of all upstreams together: two failures close together, not one alone.
+// The failure rate of an upstream is smoothed with this weight for one outcome; this far above that of all
+// upstreams together it is ejected: at two failures close together, not at one.
 constexpr double kFailureGain = 0.2;
 constexpr double kFailureExcess = 0.3;
 // The first ejection lasts this long, each further one twice as long, up to so many doublings.
 constexpr Micros kEjection = 1'000'000;
 constexpr int kMaxEjectionDoublings = 3;
-// At most this share of the listed upstreams may be ejected at once: beyond it suspect load, the network or
-// us.
+// At most this share of the listed may be ejected at once: beyond it suspect load, the network or us.
 constexpr double kMaxEjected = 0.5;
 
 // A request is never taken for worth less than this part of the worthiest.
@@ -88,7 +89,7 @@
 constexpr double kQueueing = 1;
 
 // Weights of a report that tells of fewer, and of more, requests worked on at once than thought: CPU shares
-// trail what is in hand, so reports tell of far too many while load rises.
+// trail, so reports tell of far too many while load rises.
 constexpr double kAtOnceFalls = 0.1;
 constexpr double kAtOnceRises = 0.02;
 
@@ -112,26 +113,24 @@
 // Where crossing zones has a price, an upstream in another zone is drawn at this part of its odds.
 constexpr double kCrossZoneOdds = 0.25;
 
-// A sidecar with little traffic keeps a home: the few upstreams it holds connections to, as many as it uses
-// at least so often in the time that an idle connection is kept, so many at the least,
-// and no more than so many for each of its requests in flight.
+// A sidecar with little traffic keeps a home, the upstreams it holds connections to: as many as it uses at
+// least so often in the time that an idle connection is kept, so many at least, so many a request out at
+// most.
 constexpr double kUsesPerConnection = 4;
 constexpr double kMinHome = 4;
 constexpr double kHomePerInFlight = 4;
 // All other upstreams together keep this share of its draws.
 constexpr double kAwayShare = 0.02;
 
-// Where probes tell the requests in hand, the picked upstream is looked at before it gets a request: at most
-// so many looks a request, none beyond what costs this part of its worth, and one is given up after so many
-// times the usual time of a look. Only a sidecar with fewer own requests in flight than this for each
-// upstream needs to look.
+// Where probes tell the requests in hand, a sidecar with fewer own requests in flight than this for each
+// upstream looks at the picked one before it sends: so many looks a request at most, none beyond what costs
+// this part of its worth, and one is given up after so many times the usual time of a look.
 constexpr double kBlindCount = 0.1;
 constexpr double kMaxLookPrice = 0.016;
 constexpr double kMaxLooks = 4;
 constexpr double kLookPatience = 4;
 
-// Bounds of settings and spans of time (in microseconds), far above any sensible figure: sums of a few stay
-// far from overflow.
+// Bounds of settings and of spans of time (in microseconds), far above any sensible figure.
 constexpr double kMaxAimStretch = 1e6;
 constexpr Micros kLongest = 1'000'000'000'000'000;
 
@@ -442,21 +441,22 @@
   }
 
   UpstreamId draw(const std::vector<UpstreamId>& eligible, const Request& request) {
-    double sum = 0;
     odds_.clear();
-    double home = 0;
+    double home = 0, away = 0;
     for (const UpstreamId id : eligible) {
       odds_.push_back(suits(request, id));
-      sum += odds_.back();
-      if (upstreams_[id].home) home += odds_.back();
+      if (warmth(upstreams_[id], now_) >= 1) (upstreams_[id].home ? home : away) += odds_.back();
     }
     // Upstreams away from home keep a share of the draws, so that better ones are found.
-    const double away = sum - home;
     const bool apart = home > 0 && away > 0 && hasHome();
     const double cut = apart ? std::min(1.0, kAwayShare / (1 - kAwayShare) * home / away) : 1;
-    sum = 0;
-    for (std::size_t n = 0; n < eligible.size(); ++n)
-      odds_[n] = sum += odds_[n] * (upstreams_[eligible[n]].home ? 1 : cut);
+    const double cold = kColdOdds * (home + away * cut);
+    double sum = 0;
+    for (std::size_t n = 0; n < eligible.size(); ++n) {
+      const Upstream& upstream = upstreams_[eligible[n]];
+      odds_[n] = sum += warmth(upstream, now_) < 1 ? std::max(odds_[n], cold * zoneOdds(upstream))
+                                                   : odds_[n] * (upstream.home ? 1 : cut);
+    }
     const auto at = std::upper_bound(odds_.begin(), odds_.end(), uniform() * sum) - odds_.begin();
     return eligible[std::min<std::size_t>(static_cast<std::size_t>(at), eligible.size() - 1)];
   }
@@ -488,17 +488,20 @@
     return warmth(upstream, now) >= 1 || upstream.coldCredit >= 1;
   }
 
-  // Guards against pushing a cold upstream over. With every request that this sidecar gets, a cold upstream
-  // earns its share of one attempt by size, cut down to its warmth, and each attempt, retries too, costs it
-  // one, or more if it is heavy. If all sidecars do so, the sum stays at what a warm upstream of its size
-  // carries, times its warmth.
+  // Guards against pushing a cold upstream over. With every request that comes, it earns its part of what all
+  // listed ones can do now, up to kMaxColdShare times its part if all were warm; each attempt, retries too,
+  // costs it one, or more if it is heavy. If all sidecars do so, it is loaded like a warm one for what it can
+  // do. One that rests earns nothing: what it earned with many sidecars would come all at once.
   void earnColdCredit() {
+    double present = 0;
+    for (const UpstreamId id : listed_) present += upstreams_[id].size * warmth(upstreams_[id], now_);
     const double total = meanSize_ * static_cast<double>(listed_.size());
+    const double share = std::min(1 / present, kMaxColdShare / total);
     for (const UpstreamId id : listed_) {
       Upstream& upstream = upstreams_[id];
       const double part = warmth(upstream, now_);
-      if (part < 1)
-        upstream.coldCredit = std::min(kMaxColdCredit, upstream.coldCredit + part * upstream.size / total);
+      if (part < 1 && now_ >= std::max(upstream.ejectedUntil, upstream.pausedUntil))
+        upstream.coldCredit = std::min(kMaxColdCredit, upstream.coldCredit + part * upstream.size * share);
     }
   }
 
@@ -510,8 +513,7 @@
     const bool answered = outcome == Outcome::Ok || outcome == Outcome::Error;
     if (!answered && outcome != Outcome::Full && outcome != Outcome::Timeout) return;
     if (answered && !isSlow(upstream, request, lag)) {
-      // Guards against limits that grow in quiet times and let the next burst crowd everybody: only an answer
-      // that came while the limit left no room for one more lets it grow.
+      // Guards against limits that grow in quiet times and let the next burst crowd everybody.
       if (upstream.inFlight + 2 > upstream.limit) {
         upstream.limit = std::min(kMaxLimit, upstream.limit + std::min(1.0, limitGrowth_ / upstream.limit));
       }
@@ -551,8 +553,7 @@
   }
 
   // Guards against storms when everybody is full: pauses and limits of single upstreams do not bind a blind
-  // sidecar, which always finds another. So crowding met in a row, at whatever upstreams, rests it as a
-  // whole.
+  // sidecar, which always finds another.
   void restIfCrowded(const Request& request, Outcome outcome, Micros lag) {
     const double line = kCrowdedAim * static_cast<double>(request.aim) * (1 + request.heaviness) / 2;
     const bool crowded = outcome == Outcome::Full || outcome == Outcome::Timeout ||
@@ -682,8 +683,7 @@
   }
 
   // Guards against idle connections that hold up a drain: they are closed at the notice, at each outcome
-  // there, and once more shortly before the time is up, since a connection can become idle without an
-  // outcome.
+  // there, and once more shortly before the time is up: some become idle without an outcome.
   void hangUp(UpstreamId id) {
     if (settings_.hangUpWithin <= 0) return;
     act(CloseIdle{id});
--- /dev/null
+++ b/tests/fleet_rig.h
@@ -0,0 +1,275 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// Many balancers and the upstreams they share, in made-up time: what each does alone shows what it adds up
+// to. An upstream serves `cores` requests at once and the rest in turn; a cold one is slower. Everything
+// follows from one seed.
+#ifndef ORCHIDDRUM_TESTS_FLEET_RIG_H_
+#define ORCHIDDRUM_TESTS_FLEET_RIG_H_
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+#include "rig.h"
+
+namespace orchiddrum {
+
+class Fleet {
+ public:
+  enum class Mode { Sound, Hangs, Errors };
+  struct Node {
+    double size = 1;  // as the list tells, and the true speed of each of its cores
+    Micros launchedAt = 0;
+    Mode mode = Mode::Sound;
+    UpstreamState state = UpstreamState::Serving;
+    std::vector<Micros> sentAt;  // each attempt that went there
+    double worst = 0;            // the most work of one window, against what it could do of it at its start
+  };
+  struct Count {
+    int asked = 0, inTime = 0, late = 0, refused = 0, failed = 0;
+    double part(int of) const { return asked == 0 ? 0 : static_cast<double>(of) / asked; }
+  };
+
+  // `perSecond`: requests of all sidecars together, each in proportion to the weight that it has.
+  Fleet(const Settings& settings, std::vector<Node> nodes, double perSecond, std::uint64_t seed = 1)
+      : now(1000 * kSecond), nodes_(std::move(nodes)), settings_(settings), random_(seed) {
+    state_.resize(nodes_.size());
+    double sum = 0;
+    for (std::uint32_t n = 0; n < settings_.sidecars; ++n) {
+      sidecars_.push_back(std::make_unique<Sidecar>());
+      sidecars_[n]->weight = 0.3 + uniform();  // copies differ in how much they send
+      sum += sidecars_[n]->weight;
+    }
+    for (std::uint32_t n = 0; n < settings_.sidecars; ++n) {
+      sidecars_[n]->every = 1e6 * sum / (perSecond * sidecars_[n]->weight);
+      sidecars_[n]->balancer = std::make_unique<Balancer>(settings_, random_(), now);
+      tell(n, MembershipUpdate::Kind::Saved);
+      arrive(n);
+    }
+  }
+
+  // What happens `after` so long, once.
+  void at(Micros after, std::function<void()> what) { push(now + after, std::move(what)); }
+
+  void play(Micros span) {
+    const Micros end = now + span;
+    while (!events_.empty() && events_.top().at <= end) {
+      // Moved out before it goes: it may push further ones.
+      auto what = std::move(const_cast<Entry&>(events_.top()).what);
+      now = events_.top().at;
+      events_.pop();
+      what();
+    }
+    now = end;
+  }
+
+  // Everybody hears of the list as it is, within `spread`.
+  void tellAll(Micros spread = 0) {
+    for (std::uint32_t n = 0; n < sidecars_.size(); ++n) {
+      at(static_cast<Micros>(uniform() * static_cast<double>(spread)),
+         [this, n] { tell(n, MembershipUpdate::Kind::Full); });
+    }
+  }
+
+  // A new process, cold from now on; its number.
+  UpstreamId launch(double size, Mode mode = Mode::Sound) {
+    Node node;
+    node.size = size;
+    node.launchedAt = now;
+    node.mode = mode;
+    nodes_.push_back(node);
+    state_.emplace_back();
+    return static_cast<UpstreamId>(nodes_.size() - 1);
+  }
+
+  Node& node(UpstreamId id) { return nodes_[id]; }
+  std::size_t nodes() const { return nodes_.size(); }
+  Count take() { return std::exchange(count_, Count{}); }
+
+  // The attempts of all sidecars there in [from, to).
+  int sends(UpstreamId id, Micros from, Micros to) const {
+    const auto& times = nodes_[id].sentAt;
+    return static_cast<int>(std::lower_bound(times.begin(), times.end(), to) -
+                            std::lower_bound(times.begin(), times.end(), from));
+  }
+
+  // What a node of size one could do at the most, in seconds of work a second, times the warmth of this one.
+  double capacity(const Node& node) const {
+    double warmth = 1;
+    if (node.launchedAt > 0 && settings_.coldFor > 0) {
+      const double part = static_cast<double>(now - node.launchedAt) / static_cast<double>(settings_.coldFor);
+      warmth = settings_.startCapacity + (1 - settings_.startCapacity) * std::clamp(part, 0.0, 1.0);
+    }
+    return kCores * node.size * warmth;
+  }
+
+  Micros now;
+  Micros work = 50 * kMs;  // mean, on a core of size one
+  std::uint32_t requestClass = kKeyed;
+
+ private:
+  static constexpr std::size_t kCores = 2;
+  struct Attempt {
+    std::uint32_t sidecar;
+    RequestId request;
+    std::uint32_t number;
+    double work;
+  };
+  struct Sidecar {
+    std::unique_ptr<Balancer> balancer;
+    double weight = 1, every = 0;
+    struct Open {
+      Micros came;
+      std::uint32_t attempts = 0;
+      bool over = false;
+    };
+    std::unordered_map<RequestId, Open> requests;
+    std::map<std::pair<RequestId, std::uint32_t>, UpstreamId> out;
+  };
+  struct Queue {
+    std::deque<Attempt> waiting;
+    std::size_t running = 0;
+    std::deque<std::pair<Micros, double>> lately;  // work sent in the fall window
+    double sum = 0;
+  };
+  struct Entry {
+    Micros at;
+    std::uint64_t order;
+    std::function<void()> what;
+    bool operator<(const Entry& other) const {
+      return std::pair(at, order) > std::pair(other.at, other.order);
+    }
+  };
+
+  double uniform() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
+  double exponential() { return -std::log1p(-uniform()); }
+  void push(Micros at, std::function<void()> what) { events_.push({at, order_++, std::move(what)}); }
+
+  void tell(std::uint32_t n, MembershipUpdate::Kind kind) {
+    MembershipUpdate update;
+    update.kind = kind;
+    for (UpstreamId id = 0; id < nodes_.size(); ++id) {
+      if (nodes_[id].state == UpstreamState::Gone) continue;
+      UpstreamEntry entry;
+      entry.upstream = id;
+      entry.cell = id / 8;
+      entry.state = nodes_[id].state;
+      entry.size = nodes_[id].size;
+      entry.launchedAt = nodes_[id].launchedAt;
+      entry.identity = id + 1;
+      update.entries.push_back(entry);
+    }
+    feed(n, update);
+  }
+
+  void arrive(std::uint32_t n) {
+    at(static_cast<Micros>(exponential() * sidecars_[n]->every), [this, n] {
+      NewRequest request;
+      request.request = ++lastRequest_;
+      request.requestClass = requestClass;
+      request.expiresIn = settings_.classes[requestClass].deadline;
+      sidecars_[n]->requests[request.request].came = now;
+      ++count_.asked;
+      feed(n, request);
+      arrive(n);
+    });
+  }
+
+  void feed(std::uint32_t n, const Event& event) {
+    std::vector<Action> actions;
+    sidecars_[n]->balancer->handle(event, now, actions);
+    for (const Action& action : actions) {
+      if (const auto* send = std::get_if<Send>(&action)) sendTo(n, *send);
+      if (const auto* cancel = std::get_if<Cancel>(&action))
+        end(n, cancel->request, cancel->attempt, Outcome::Cancelled);
+      if (const auto* refuse = std::get_if<Refuse>(&action)) close(n, refuse->request, &Count::refused);
+      if (const auto* fail = std::get_if<Fail>(&action)) close(n, fail->request, &Count::failed);
+      if (const auto* timer = std::get_if<SetTimer>(&action))
+        at(timer->delay, [this, n] { feed(n, TimerDue{}); });
+    }
+  }
+
+  void sendTo(std::uint32_t n, const Send& send) {
+    auto& open = sidecars_[n]->requests.at(send.request);
+    const Attempt attempt{n, send.request, open.attempts++, exponential() * static_cast<double>(work) / 1e6};
+    sidecars_[n]->out[{send.request, attempt.number}] = send.upstream;
+    Node& node = nodes_[send.upstream];
+    node.sentAt.push_back(now);
+    Queue& queue = state_[send.upstream];
+    queue.lately.emplace_back(now, attempt.work);
+    queue.sum += attempt.work;
+    while (queue.lately.front().first <= now - settings_.fallWindow) {
+      queue.sum -= queue.lately.front().second;
+      queue.lately.pop_front();
+    }
+    node.worst =
+        std::max(node.worst, queue.sum * 1e6 / (capacity(node) * static_cast<double>(settings_.fallWindow)));
+    if (node.mode == Mode::Errors)
+      return at(2 * kMs,
+                [this, attempt] { end(attempt.sidecar, attempt.request, attempt.number, Outcome::Error); });
+    if (node.mode == Mode::Hangs) return;
+    queue.waiting.push_back(attempt);
+    begin(send.upstream);
+  }
+
+  void begin(UpstreamId id) {
+    Queue& queue = state_[id];
+    while (queue.running < kCores && !queue.waiting.empty()) {
+      const Attempt attempt = queue.waiting.front();
+      queue.waiting.pop_front();
+      const auto& out = sidecars_[attempt.sidecar]->out;
+      if (out.count({attempt.request, attempt.number}) == 0) continue;  // it was cancelled while it waited
+      ++queue.running;
+      const double speed = capacity(nodes_[id]) / static_cast<double>(kCores);
+      at(static_cast<Micros>(1e6 * attempt.work / speed) + 1, [this, id, attempt] {
+        --state_[id].running;
+        end(attempt.sidecar, attempt.request, attempt.number, Outcome::Ok);
+        begin(id);
+      });
+    }
+  }
+
+  void end(std::uint32_t n, RequestId request, std::uint32_t number, Outcome outcome) {
+    Sidecar& sidecar = *sidecars_[n];
+    const auto found = sidecar.out.find({request, number});
+    if (found == sidecar.out.end()) return;
+    const UpstreamId upstream = found->second;
+    sidecar.out.erase(found);
+    auto& open = sidecar.requests.at(request);
+    AttemptOutcome event{request, number, upstream, outcome, 0, open.over, std::nullopt};
+    if (outcome == Outcome::Ok && !open.over) {
+      event.last = true;
+      close(n, request,
+            now - open.came <= settings_.classes[requestClass].aim ? &Count::inTime : &Count::late);
+    }
+    // Later, as on a socket: the balancer is not called from within itself.
+    push(now, [this, n, event] { feed(n, event); });
+  }
+
+  void close(std::uint32_t n, RequestId request, int Count::*how) {
+    auto& open = sidecars_[n]->requests.at(request);
+    EXPECT_FALSE(open.over) << "a second final answer";
+    open.over = true;
+    ++(count_.*how);
+  }
+
+  std::vector<Node> nodes_;
+  std::vector<Queue> state_;
+  Settings settings_;
+  std::mt19937_64 random_;
+  std::vector<std::unique_ptr<Sidecar>> sidecars_;
+  std::priority_queue<Entry> events_;
+  std::uint64_t order_ = 0;
+  RequestId lastRequest_ = 0;
+  Count count_;
+};
+
+}  // namespace orchiddrum
+
+#endif  // ORCHIDDRUM_TESTS_FLEET_RIG_H_
