--- a/include/orchiddrum/balancer.h
+++ b/include/orchiddrum/balancer.h
@@ -87,6 +87,7 @@
   std::uint32_t zone = 0;  // this sidecar's own
   std::uint32_t kinds = 1;
   std::uint32_t sidecars = 1;
+  std::uint32_t sidecar = 0;   // this one's own number, under `sidecars`; a larger one wraps round
   bool mustSubscribe = false;  // membership changes arrive only after Subscribe or Fetch
   Micros resolution = 1000;    // the shortest gap between two calls with a later `now`
 
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -14,6 +14,9 @@
 #include <random>
 #include <stdexcept>
 #include <unordered_map>
+#include <utility>
+
+#include "figures.h"
 
 namespace orchiddrum {
 namespace {
@@ -26,26 +29,26 @@
 constexpr double kMaxColdShare = 1.5;
 // Odds of a cold upstream that has its credit, against all warm ones together: its turn has come already.
 constexpr double kColdOdds = 0.125;
-// After a failed call to discovery the next waits up to this part of askWithin, doubled for each further
-// failure: four calls fit before the list would count as told.
-constexpr double kDiscoveryRetry = 1.0 / 16;
-constexpr int kDiscoveryMaxDoublings = 2;
+// At their start all sidecars ask discovery by their numbers, one in this time (microseconds), but all within
+// this part of askWithin. Failed calls back off from these parts of askWithin or of that spread, and up to
+// these.
+constexpr double kFleetCallGap = 35'000;
+constexpr double kDiscoverySpread = 0.5;
+constexpr double kDiscoveryRetry = 1.0 / 32, kSpreadRetry = 0.25;
+constexpr double kDiscoveryLongest = 0.25, kSpreadLongest = 1.5;
 
 // Concurrency limit of an upstream, in this sidecar's own attempts. It starts low, since all sidecars start
-// at once and an upstream that they crowd may stay slow for long, and rises by one for each limit's worth of
-// timely answers. A limit under one is kept by a rest after each answer.
+// at once, and rises by one for each limit's worth of timely answers. One under one is kept by rests.
 constexpr double kStartLimit = 1;
 constexpr double kMinLimit = 0.1;
 constexpr double kMaxLimit = 1e6;
-// For so many sidecars or fewer a limit grows by one. It settles at about the root of its growth and the
-// limits of all sidecars add up on the upstream, so for more of them growth falls with the square of their
-// number.
+// For so many sidecars or fewer a limit grows by one. It settles at about the root of its growth, and those
+// of all sidecars add up, so for more of them growth falls with the square of their number.
 constexpr double kFewSidecars = 4;
 // It falls by this factor, once a round trip, at a refusal, a time-out or a slow answer.
 constexpr double kLimitBackoff = 0.7;
-// An answer is slow when it took more than this part of its aim beyond the shortest answer seen from that
-// upstream (the network's part). Half of that is for the request's own work and scales with its hint.
-// Upstreams of less than the mean size get up to so many times longer.
+// An answer is slow that took more than this part of its aim beyond the shortest from that upstream; half of
+// that scales with the request's hint of work. Upstreams below the mean size get up to so many times longer.
 constexpr double kSlowPart = 0.15;
 constexpr double kMaxSlowStretch = 2;
 
@@ -113,9 +116,8 @@
 // Where crossing zones has a price, an upstream in another zone is drawn at this part of its odds.
 constexpr double kCrossZoneOdds = 0.25;
 
-// A sidecar with little traffic keeps a home, the upstreams it holds connections to: as many as it uses at
-// least so often in the time that an idle connection is kept, so many at least, so many a request out at
-// most.
+// A sidecar with little traffic keeps a home, the upstreams it holds connections to: as many as it uses so
+// often in the time that an idle connection is kept, so many at least, so many a request out at most.
 constexpr double kUsesPerConnection = 4;
 constexpr double kMinHome = 4;
 constexpr double kHomePerInFlight = 4;
@@ -130,26 +132,12 @@
 constexpr double kMaxLooks = 4;
 constexpr double kLookPatience = 4;
 
-// Bounds of settings and of spans of time (in microseconds), far above any sensible figure.
+// Bounds a setting, far above any sensible figure.
 constexpr double kMaxAimStretch = 1e6;
-constexpr Micros kLongest = 1'000'000'000'000'000;
-
-// Guards against settings that are extreme or not numbers at all: the lower bound is the safe one.
-double within(double value, double low, double high) {
-  return value >= low ? std::min(value, high) : low;
-}
-void bound(Micros& span) {
-  span = std::clamp<Micros>(span, 0, kLongest);
-}
 
 // Shedding is over, for the log, when nothing was turned away unsent for this long.
 constexpr Micros kSheddingOver = 5'000'000;
 
-// Moves a smoothed figure towards a sample.
-void smooth(double& figure, double sample, double gain) {
-  figure += gain * (sample - figure);
-}
-
 bool provesNeverRan(Outcome outcome) {
   return outcome == Outcome::Full || outcome == Outcome::ConnectFailed || outcome == Outcome::Moot;
 }
@@ -538,9 +526,8 @@
 
   // ---- Health ---------------------------------------------------------------------------------------------
 
-  // Guards against an upstream whose quick refusals or failed connects keep its count lowest: it would hold
-  // the slot and soak up the traffic. It is left alone for about one service time, twice as long at each
-  // further refusal in a row.
+  // Guards against an upstream whose quick refusals or failed connects keep its count lowest. It is left
+  // alone for about one service time, twice as long at each further refusal in a row.
   void pause(Upstream& upstream, Micros serviceTime) {
     const double wait = static_cast<double>(std::max(serviceTime, settings_.resolution)) *
                         std::exp2(std::min(upstream.refusals++, kMaxEjectionDoublings));
@@ -633,15 +620,15 @@
     const bool first = !started_;
     started_ = true;
     if (update.kind == MembershipUpdate::Kind::Failed) {
-      const int doublings = std::min(discoveryFailures_++, kDiscoveryMaxDoublings);
-      const double wait = static_cast<double>(settings_.askWithin) * kDiscoveryRetry * (1 << doublings);
-      const auto delay = static_cast<Micros>(wait * (0.5 + uniform() / 2));
-      wakes_.push({now_ + std::max(delay, settings_.resolution), 0, Wake::What::Discovery});
-      if (discoveryFailures_ == 1) act(Log{"discovery lost: deciding on the last list"});
+      const auto asked = static_cast<double>(settings_.askWithin);
+      const double base = std::max(asked * kDiscoveryRetry, discoverySpread() * kSpreadRetry);
+      const double longest = std::max(asked * kDiscoveryLongest, discoverySpread() * kSpreadLongest);
+      askLater(discoveryWait_.next(base, longest, uniform()));
+      if (!std::exchange(discoveryLost_, true)) act(Log{"discovery lost: deciding on the last list"});
       return;
     }
-    if (discoveryFailures_ > 0) act(Log{"discovery is back"});
-    discoveryFailures_ = 0;
+    if (std::exchange(discoveryLost_, false)) act(Log{"discovery is back"});
+    discoveryWait_.reset();
     const std::vector<UpstreamId> before = listed_;
     if (update.kind != MembershipUpdate::Kind::Changes) {
       // Whoever is missing from a full list is gone.
@@ -656,7 +643,9 @@
     for (const UpstreamId id : listed_)
       meanSize_ += upstreams_[id].size / static_cast<double>(listed_.size());
     if (slot_ != kNone && !upstreams_[slot_].listed) slot_ = kNone;
-    if (first || update.kind == MembershipUpdate::Kind::Saved) askDiscovery();  // a saved list may be stale
+    if (!first && update.kind != MembershipUpdate::Kind::Saved) return;
+    const double phase = static_cast<double>(settings_.sidecar % settings_.sidecars) / settings_.sidecars;
+    phase* discoverySpread() > 0 ? askLater(phase * discoverySpread()) : askDiscovery();  // it may be stale
   }
 
   void apply(const UpstreamEntry& entry) {
@@ -691,6 +680,17 @@
     if (again > 0) wakes_.push({now_ + again, id, Wake::What::HangUp});
   }
 
+  double discoverySpread() const {
+    if (!settings_.mustSubscribe || settings_.sidecars <= kFewSidecars) return 0;
+    return std::min(kDiscoverySpread * static_cast<double>(settings_.askWithin),
+                    kFleetCallGap * settings_.sidecars);
+  }
+
+  void askLater(double delay) {
+    wakes_.push(
+        {now_ + std::max(static_cast<Micros>(delay), settings_.resolution), 0, Wake::What::Discovery});
+  }
+
   void askDiscovery() { settings_.mustSubscribe ? act(Subscribe{}) : act(Fetch{}); }
 
   // ---- Connections and home -------------------------------------------------------------------------------
@@ -857,8 +857,7 @@
   }
 
   // Guards against refusing what an ejected upstream might still serve: one that answers at all answers some.
-  // That takes nothing from the others, and is its trial. One that is silent gets nothing: a refusal lets the
-  // client try again.
+  // That is its trial. One that is silent gets nothing: a refusal lets the client try again.
   void giveUp(RequestId id, Request& request) {
     const Permission may = permission(request);
     eligible_.clear();
@@ -1066,8 +1065,7 @@
 
   // What any report tells. An upstream works on as many requests at once as it has in hand less those
   // waiting; or as it would have in hand if its CPU had nothing to spare; or, when it has none, as the time
-  // to an answer leaves of them against that of calm times (Little's law), so that what slows it down counts
-  // too.
+  // to an answer leaves of them against that of calm times (Little's law).
   void learnReport(Upstream& upstream, const LoadReport& report) {
     if (report.cpuShare) {
       upstream.cpuShare = within(*report.cpuShare, 0, 1);
@@ -1272,7 +1270,8 @@
   Micros connectedAt_ = 0;      // the last one
   double ownZoneCpu_ = 0;       // smoothed, as upstreams of the own zone report it
   UpstreamId slot_ = kNone;     // the remembered upstream
-  int discoveryFailures_ = 0;
+  bool discoveryLost_ = false;
+  DecorrelatedJitter discoveryWait_;
 
   std::unordered_map<RequestId, Request> requests_;  // looked up only, never iterated
   std::size_t open_ = 0;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -178,6 +178,7 @@
                : lookUp(site.zones, "locality", create.find("locality").value_or(site.zones.begin()->first));
   s.kinds = static_cast<std::uint32_t>(std::max<std::size_t>(1, site.kinds.size()));
   s.sidecars = static_cast<std::uint32_t>(create.integer("balancers", 1, 1'000'000, 1));
+  s.sidecar = static_cast<std::uint32_t>(create.integer("index", 0, 1'000'000, 0));
   s.mustSubscribe = create.find("membershipMode").value_or("") == "subscribe";
   s.resolution = create.integer("resolution", 1, kMaxTime, s.resolution);
   s.connectTimeout = create.integer("limits.connectTimeout", 0, kMaxTime, 0);
--- a/tests/grown_fleet_test.cpp
+++ b/tests/grown_fleet_test.cpp
@@ -1,6 +1,10 @@
 // Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
 //
 // A hundred sidecars before sixty upstreams: what none of them sees alone.
+#include <memory>
+#include <tuple>
+#include <utility>
+
 #include "fleet_rig.h"
 
 namespace orchiddrum {
@@ -61,5 +65,119 @@
   }
 }
 
+// ---- Discovery ------------------------------------------------------------------------------------------
+
+// One service for all sidecars: it works through calls in turn, whether or not somebody still waits, gives
+// one up that has waited too long, and turns one away that would.
+class Discovery {
+ public:
+  enum class Said { Nothing, List, Failed };
+  // When a call that comes now is over, and how.
+  std::pair<Micros, Said> call(Micros now) {
+    constexpr Micros kEach = 50 * kMs, kTimeout = 2 * kSecond;
+    const Micros done = std::max(free_, now) + kEach;
+    if (done > now + 2 * kTimeout) return {now, Said::Failed};
+    free_ = done;
+    return done > now + kTimeout ? std::pair{now + kTimeout, Said::Failed} : std::pair{done, Said::List};
+  }
+
+ private:
+  Micros free_ = 0;
+};
+
+struct Calls {
+  std::vector<Micros> at;      // of each call
+  std::vector<Micros> listed;  // when each sidecar had its first list, 0: never
+  int most(Micros span) const {
+    int most = 0;
+    for (std::size_t n = 0, first = 0; n < at.size(); ++n) {
+      while (at[first] <= at[n] - span) ++first;
+      most = std::max(most, static_cast<int>(n - first + 1));
+    }
+    return most;
+  }
+};
+
+// All start within `spread` with an old list; discovery is down until `down`.
+Calls callDiscovery(std::uint32_t sidecars, Micros spread, Micros down) {
+  Settings s = grownSettings(sidecars);
+  s.mustSubscribe = true;
+  s.zones = 2;  // as serving() has them
+  const Micros start = 1000 * kSecond, end = start + 40 * kSecond;
+  struct Sidecar {
+    std::unique_ptr<Rig> rig;
+    Micros wake = 0, answer = 0;
+    Discovery::Said said = Discovery::Said::Nothing;
+  };
+  std::vector<Sidecar> all(sidecars);
+  Discovery discovery;
+  Calls calls;
+  calls.listed.resize(sidecars);
+  for (std::uint32_t n = 0; n < sidecars; ++n) all[n].wake = start + spread * n / sidecars;
+  for (Micros now = start; now < end; now += 5 * kMs) {
+    for (std::uint32_t n = 0; n < sidecars; ++n) {
+      Sidecar& one = all[n];
+      const auto carryOut = [&] {
+        for (const SetTimer& timer : one.rig->all<SetTimer>()) one.wake = now + timer.delay;
+        if (one.rig->count<Subscribe>() == 0) return;
+        calls.at.push_back(now);
+        std::tie(one.answer, one.said) =
+            now < start + down ? std::pair{now + kMs, Discovery::Said::Failed} : discovery.call(now);
+      };
+      if (!one.rig && now >= one.wake) {
+        one.wake = end;
+        s.sidecar = n;
+        one.rig = std::make_unique<Rig>(s, n + 1, now);
+        one.rig->start(10);
+        carryOut();
+      } else if (one.rig) {
+        one.rig->now = now;
+        if (now >= one.wake) {
+          one.wake = end;
+          one.rig->feed(TimerDue{});
+          carryOut();
+        }
+        if (one.said != Discovery::Said::Nothing && now >= one.answer) {
+          const bool list = std::exchange(one.said, Discovery::Said::Nothing) == Discovery::Said::List;
+          if (list && calls.listed[n] == 0) calls.listed[n] = now;
+          one.rig->list(list ? MembershipUpdate::Kind::Changes : MembershipUpdate::Kind::Failed);
+          carryOut();
+        }
+      }
+    }
+  }
+  return calls;
+}
+
+// Found on the days herd+vast: seventy sidecars started at once, called at once, and those that failed called
+// again in step. Discovery worked off calls that nobody waited for any more, and most had no list for good.
+TEST(GrownFleet, SidecarsThatStartTogetherAllHaveTheirListSoon) {
+  for (const std::uint32_t sidecars : {1u, 5u, 100u}) {
+    const Calls calls = callDiscovery(sidecars, kSecond, 0);
+    EXPECT_LE(calls.most(kSecond), 50) << sidecars;
+    for (const Micros at : calls.listed) {
+      EXPECT_GT(at, 0) << "one of " << sidecars << " never had a list";
+      EXPECT_LE(at, 1015 * kSecond) << sidecars;
+    }
+  }
+}
+
+TEST(GrownFleet, DiscoveryComesBackToNoWave) {
+  const Calls calls = callDiscovery(100, 0, 12 * kSecond);
+  EXPECT_LE(calls.most(100 * kMs), 15);
+  EXPECT_LE(calls.most(kSecond), 75);
+  for (const Micros at : calls.listed) EXPECT_GT(at, 0) << "one never had a list";
+}
+
+TEST(GrownFleet, AHugeFleetStillAsksWithinItsTime) {
+  const Calls calls = callDiscovery(1000, 0, 40 * kSecond);
+  Settings s = grownSettings();
+  EXPECT_LE(calls.most(kSecond), 500);
+  // Everybody has asked before the list would count as told.
+  EXPECT_GE(
+      std::lower_bound(calls.at.begin(), calls.at.end(), 1000 * kSecond + s.askWithin) - calls.at.begin(),
+      1000);
+}
+
 }  // namespace
 }  // namespace orchiddrum
