Odd fleet figures, doubled ids and an unreadable known list no longer stop a sidecar

Tried by hand before the change: `balancers` 0 and a `known` entry that can't be read each ended the program at its start, and a whole list that named an id twice was followed in whatever order it stood.

Now a number of sidecars of 0 is taken for 1, an own number beyond it for the rest of their division, a `known` list that can't be read is left out and the whole list asked for; each with one line. A whole list with an id twice is not taken, as one with an unreadable entry; the last one stays. One with nobody up is followed, since what drains or is gone must get nothing new, with one line. Each test fails without its mend.

--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -177,8 +177,18 @@
                ? 0
                : lookUp(site.zones, "locality", create.find("locality").value_or(site.zones.begin()->first));
   s.kinds = static_cast<std::uint32_t>(std::max<std::size_t>(1, site.kinds.size()));
-  s.sidecars = static_cast<std::uint32_t>(create.integer("balancers", 1, 1'000'000, 1));
-  s.sidecar = static_cast<std::uint32_t>(create.integer("index", 0, 1'000'000, 0));
+  // Neither is worth a sidecar that doesn't start: they only tell how the fleet divides what it does.
+  s.sidecars = static_cast<std::uint32_t>(create.integer("balancers", 0, 1'000'000, 1));
+  s.sidecar = static_cast<std::uint32_t>(create.integer("index", 0, 1'000'000'000, 0));
+  if (s.sidecars == 0) {
+    site.remarks.emplace_back("balancers is 0; taken for 1");
+    s.sidecars = 1;
+  }
+  if (s.sidecar >= s.sidecars) {
+    site.remarks.push_back("index " + std::to_string(s.sidecar) + " is not under balancers, " +
+                           std::to_string(s.sidecars) + "; taken for the rest of their division");
+    s.sidecar %= s.sidecars;
+  }
   s.mustSubscribe = create.find("membershipMode").value_or("") == "subscribe";
   s.resolution = create.integer("resolution", 1, kMaxTime, s.resolution);
   s.connectTimeout = create.integer("limits.connectTimeout", 0, kMaxTime, 0);
--- a/src/sidecar/config.cpp
+++ b/src/sidecar/config.cpp
@@ -5,10 +5,14 @@
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <cmath>
+#include <cstdio>
 #include <cstdlib>
+#include <exception>
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <set>
+#include <string_view>
 
 namespace ivypost {
 namespace {
@@ -85,14 +89,32 @@
   return instance;
 }
 
+// Throws for a whole list that names an instance twice: which of the two holds, nobody knows. Among changes
+// the later one does.
 InstanceList toInstances(const json& object) {
   InstanceList list;
   list.generation = object.at("generation").get<std::int64_t>();
   list.whole = object.at("reset").get<bool>();
-  for (const json& item : object.at("instances")) list.instances.push_back(toInstance(item));
+  std::set<std::string_view> named;
+  list.instances.reserve(object.at("instances").size());
+  for (const json& item : object.at("instances")) {
+    list.instances.push_back(toInstance(item));
+    const std::string& id = list.instances.back().id;
+    if (list.whole && !named.insert(id).second) bad("the whole list names an instance twice:", id);
+  }
   return list;
 }
 
+// What the platform remembers of the last list is a help at the start, and no reason not to start.
+std::optional<InstanceList> toKnown(const json& object) {
+  try {
+    return toInstances(object);
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "the known list is left out: %s\n", error.what());
+    return std::nullopt;
+  }
+}
+
 std::uint64_t toSeed(const std::string& text) {
   std::uint64_t seed = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
@@ -144,11 +166,13 @@
       config.cores = file["limits"].value("cores", config.cores);
       if (!(config.cores > 0)) bad("limits.cores has to be over 0:", file["limits"]["cores"].dump());
     }
-    if (file.contains("known")) config.known = toInstances(file["known"]);
+    if (file.contains("known")) config.known = toKnown(file["known"]);
     std::string line = "settings";
     const json& settings = file.at("settings");
     flatten(settings, "", line);
     config.site = orchiddrum::readSite(orchiddrum::Line(line));
+    for (const std::string& remark : config.site.remarks)
+      std::fprintf(stderr, "settings: %s\n", remark.c_str());
   } catch (const json::exception& error) {
     throw FormatError(error.what());
   }
--- a/src/sidecar/config.h
+++ b/src/sidecar/config.h
@@ -40,9 +40,9 @@
   std::string name;
   Endpoint listen, discovery;
   std::uint64_t seed = 0;
-  double cores = 1;            // of processor that the process may use
-  std::size_t sockets = 1024;  // file descriptors that the process may hold
-  InstanceList known;
+  double cores = 1;                   // of processor that the process may use
+  std::size_t sockets = 1024;         // file descriptors that the process may hold
+  std::optional<InstanceList> known;  // none: there was none, or it could not be read
   orchiddrum::Site site;
   std::vector<std::string> classNames;  // by number
 };
--- a/src/sidecar/discovery.cpp
+++ b/src/sidecar/discovery.cpp
@@ -114,7 +114,7 @@
       address_(config.discovery),
       callbacks_(std::move(callbacks)),
       pause_(io),
-      generation_(config.known.generation),
+      generation_(config.known ? std::optional(config.known->generation) : std::nullopt),
       pushed_(!config.site.settings.mustSubscribe) {}
 
 Discovery::~Discovery() {
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -54,7 +54,7 @@
       level_(io, config_.cores,
              {[this] { return gauges(); }, [this](levels::Level level) { onLevel(level); }}) {
   level_.adopt(file.levels);
-  onList(config_.known, MembershipUpdate::Kind::Saved);
+  onList(config_.known.value_or(InstanceList{}), MembershipUpdate::Kind::Saved);
   if (!config_.site.settings.mustSubscribe) discovery_.watch();
 }
 
@@ -171,6 +171,11 @@
     if (known.listed) upstreams_.setAddress(entry.upstream, instance.address);
     update.entries.push_back(entry);
   }
+  // It is followed all the same: what drains or is gone gets nothing new, whatever is left.
+  const bool anyUp = std::any_of(update.entries.begin(), update.entries.end(), [](const auto& entry) {
+    return entry.state == orchiddrum::UpstreamState::Serving;
+  });
+  if (list.whole && !anyUp) std::fprintf(stderr, "the whole list names no upstream that is up\n");
   handle(update);
   for (const auto& entry : update.entries) {
     if (entry.state == orchiddrum::UpstreamState::Draining) upstreams_.takeBack(entry.upstream);
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -114,6 +114,83 @@
   }
 }
 
+// Guards against lists that can't be meant: the sidecar goes on with what it had, and says one line.
+TEST_F(SidecarTest, KeepsTheLastListWhenTheNewOneCannotBeMeant) {
+  start(1);
+  const Client from = client();
+  json twice = list(50, true);
+  twice["instances"].push_back(twice["instances"][0]);
+  twice["instances"][1]["lifecycle"] = "draining";
+  json unread = list(51, true);
+  unread["instances"].push_back({{"instanceId", "s-9"}, {"hostPort", "nowhere"}, {"lifecycle", "up"}});
+  std::size_t n = 0;
+  for (const json& odd : {twice, unread}) {
+    SCOPED_TRACE(n);
+    const auto before = watches();
+    testing::internal::CaptureStderr();
+    discovery.requests.back().reply(200, odd.dump());
+    ASSERT_TRUE(wait([&] { return watches() > before; }));
+    const std::string said = testing::internal::GetCapturedStderr();
+    EXPECT_EQ(std::count(said.begin(), said.end(), '\n'), 1) << said;
+    EXPECT_NE(discovery.requests.back().message.target().find("index=41&"), beast::string_view::npos);
+    Request request;
+    request.trace = traceOf(static_cast<int>(++n));
+    from.send(request.text());
+    ASSERT_TRUE(wait([&] { return arrived() == n; }));
+    upstreams[0]->requests[n - 1].reply(200, "");
+    ASSERT_TRUE(wait([&] { return from.answers() == n; }));
+    // A good one in between, so that the next failure is told anew.
+    discovery.requests.back().reply(200, list(41, false).dump());
+    ASSERT_TRUE(wait([&] { return watches() > before + 1; }));
+  }
+}
+
+// A whole list without an `up` entry is followed, since what drains or is gone gets nothing new, and the next
+// one is too.
+TEST_F(SidecarTest, OutlivesAListWithNobodyUp) {
+  start(1);
+  const Client from = client();
+  for (const bool empty : {true, false}) {
+    json nobody = list(++generation, true);
+    nobody["instances"][0]["lifecycle"] = "draining";
+    if (empty) nobody["instances"].clear();
+    auto before = watches();
+    testing::internal::CaptureStderr();
+    discovery.requests.back().reply(200, nobody.dump());
+    ASSERT_TRUE(wait([&] { return watches() > before; }));
+    EXPECT_NE(testing::internal::GetCapturedStderr().find("no upstream that is up\n"), std::string::npos);
+    Request request;
+    request.trace = traceOf(generation);
+    from.send(request.text());
+    before = watches();
+    const auto answers = from.answers(), sent = arrived();
+    discovery.requests.back().reply(200, list(++generation, true).dump());
+    ASSERT_TRUE(wait([&] { return arrived() == sent + 1; })) << "held until somebody is up";
+    upstreams[0]->requests.back().reply(200, "");
+    ASSERT_TRUE(wait([&] { return from.answers() == answers + 1; }));
+    EXPECT_EQ(from.answer(answers).result_int(), 200u);
+  }
+}
+
+// Guards against odd figures that keep a sidecar from starting, though it can do without them.
+TEST_F(SidecarTest, StartsWithOddFiguresOfTheFleetAndAnUnreadableKnownList) {
+  testing::internal::CaptureStderr();
+  generation = 7;
+  start(1, {{"settings", {{"balancers", 0}, {"index", 12}, {"unheard", {{"of", {1, "x", nullptr}}}}}},
+            {"known", {{"generation", 5}, {"reset", true}, {"instances", {{{"instanceId", 3}}}}}}});
+  const std::string said = testing::internal::GetCapturedStderr();
+  EXPECT_NE(said.find("balancers is 0"), std::string::npos) << said;
+  EXPECT_NE(said.find("index 12 is not under balancers, 1"), std::string::npos) << said;
+  EXPECT_NE(said.find("known list is left out"), std::string::npos) << said;
+  EXPECT_NE(discovery.requests.back().message.target().find("index=7&"), beast::string_view::npos)
+      << "the whole list was asked for instead";
+  const Client from = client();
+  from.send(Request().text());
+  ASSERT_TRUE(wait([&] { return arrived() == 1; }));
+  upstreams[0]->requests[0].reply(200, "");
+  ASSERT_TRUE(wait([&] { return from.answers() == 1; }));
+}
+
 // Guards against a new configuration that is taken late or not at all: the waiting call is dropped, the new
 // address is asked for its whole list until it comes, and its generations are not judged by the old one's.
 TEST_F(SidecarTest, FollowsDiscoveryToItsNewAddress) {
@@ -522,10 +599,11 @@
       "limits":{"maxAttempts":3,"connectTimeout":250000}}})");
   EXPECT_EQ(config.seed, 0x8c1f30d27a5be964u);
   EXPECT_EQ(config.sockets, 512u);
-  EXPECT_EQ(config.known.generation, 41);
-  ASSERT_EQ(config.known.instances.size(), 1u);
-  EXPECT_EQ(config.known.instances[0].startedAtMs, 7);
-  EXPECT_EQ(config.known.instances[0].cell, 3u);
+  ASSERT_TRUE(config.known);
+  EXPECT_EQ(config.known->generation, 41);
+  ASSERT_EQ(config.known->instances.size(), 1u);
+  EXPECT_EQ(config.known->instances[0].startedAtMs, 7);
+  EXPECT_EQ(config.known->instances[0].cell, 3u);
   EXPECT_EQ(config.site.settings.zone, 1u);
   EXPECT_EQ(config.site.settings.maxAttempts, 3u);
   EXPECT_EQ(config.site.settings.connectTimeout, 250000);
