--- a/tests/grown_fleet_test.cpp
+++ b/tests/grown_fleet_test.cpp
@@ -85,6 +85,60 @@
   EXPECT_GT(count.part(count.inTime), 0.75);
 }
 
+// A third of the upstreams swallow what they get for five seconds, and come back cold.
+TEST(GrownFleet, AZoneThatIsLostAndComesBackColdIsUsedAgainAndNotPushedOver) {
+  for (const std::uint32_t sidecars : {1u, 5u, 100u}) {
+    SCOPED_TRACE(sidecars);
+    const auto nodes = warm(60);
+    const double rate = 0.5 * rateOf(Fleet(grownSettings(1), nodes, 1), nodes);
+    Fleet fleet(grownSettings(sidecars), nodes, rate, sidecars);
+    fleet.play(8 * kSecond);
+    for (UpstreamId id = 0; id < 20; ++id) fleet.node(id).mode = Fleet::Mode::Hangs;
+    fleet.take();
+    fleet.play(5 * kSecond);
+    const auto lost = fleet.take();
+    // Keyed requests that may have run go again within their group and window only: those that hang are lost.
+    EXPECT_GT(lost.part(lost.inTime), 0.8);
+    for (UpstreamId id = 0; id < 20; ++id) {
+      Fleet::Node& node = fleet.node(id);
+      node.mode = Fleet::Mode::Sound;
+      node.launchedAt = fleet.now;
+      node.worst = 0;
+    }
+    fleet.tellAll(300 * kMs);
+    const Micros back = fleet.now;
+    fleet.play(8 * kSecond);
+    int used = 0;
+    for (UpstreamId id = 0; id < 20; ++id) {
+      EXPECT_LT(fleet.node(id).worst, 2.5) << "upstream " << id;
+      used += fleet.sends(id, back + 4 * kSecond, fleet.now) > 0;
+    }
+    EXPECT_EQ(used, 20) << "none is shunned";
+    const auto count = fleet.take();
+    EXPECT_GT(count.part(count.inTime), 0.9);
+  }
+}
+
+// Some of the new ones answer with errors at once. Each sidecar sees hardly two attempts a second of any one.
+TEST(GrownFleet, UpstreamsThatFailQuicklyDrawNoTraffic) {
+  const auto nodes = warm(60);
+  const double rate = 0.5 * rateOf(Fleet(grownSettings(1), nodes, 1), nodes);
+  Fleet fleet(grownSettings(), nodes, rate);
+  fleet.play(8 * kSecond);
+  const Micros from = fleet.now;
+  for (UpstreamId id = 0; id < 6; ++id) fleet.node(id).mode = Fleet::Mode::Errors;
+  fleet.play(10 * kSecond);
+  int bad = 0, all = 0;
+  for (UpstreamId id = 0; id < 60; ++id) {
+    const int sends = fleet.sends(id, from + 5 * kSecond, fleet.now);
+    all += sends;
+    if (id < 6) bad += sends;
+  }
+  EXPECT_LT(bad, all / 50) << "a tenth of the upstreams";
+  const auto count = fleet.take();
+  EXPECT_GT(count.part(count.inTime), 0.9);
+}
+
 // ---- Discovery ------------------------------------------------------------------------------------------
 
 // One service for all sidecars: it works through calls in turn, whether or not somebody still waits, gives
