A whole list costs in proportion to its length, not to its square

Lines at fault: Balancer::apply() searched listed_ for every entry, and Sidecar::takesItsAddress() every upstream for each address; the flag `listed` tells the one, and a map from address to holder the other. The order of listed_ and so every decision stay as they were; the existing tests of replaced addresses cover the map.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -654,6 +654,7 @@
   void apply(const UpstreamEntry& entry) {
     if (entry.upstream >= upstreams_.size()) upstreams_.resize(entry.upstream + 1);
     Upstream& upstream = upstreams_[entry.upstream];
+    const bool was = upstream.listed;
     const bool restarted = entry.launchedAt != upstream.launchedAt || entry.identity != upstream.identity;
     if (!upstream.known || restarted) {
       const std::uint32_t inFlight = upstream.inFlight;
@@ -668,10 +669,9 @@
     upstream.zone = entry.zone;
     upstream.cell = entry.cell;
     upstream.size = entry.size > 0 ? entry.size : 1;
-    const auto at = std::find(listed_.begin(), listed_.end(), entry.upstream);
     upstream.listed = entry.state == UpstreamState::Serving;
-    if (upstream.listed && at == listed_.end()) listed_.push_back(entry.upstream);
-    if (!upstream.listed && at != listed_.end()) listed_.erase(at);
+    if (upstream.listed && !was) listed_.push_back(entry.upstream);
+    if (!upstream.listed && was) std::erase(listed_, entry.upstream);
   }
 
   // Guards against idle connections that hold up a drain: they are closed at the notice, at each outcome
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -161,6 +161,7 @@
     entry.launchedAt = launchedAt(instance.startedAtMs);
     entry.identity = orchiddrum::identity(instance.id);
     Known& known = known_[entry.upstream];
+    if (known.address != instance.address) leaveAddress(entry.upstream);
     known.address = instance.address;
     known.startedAtMs = instance.startedAtMs;
     known.listed = instance.state != orchiddrum::UpstreamState::Gone;
@@ -335,21 +336,29 @@
 // that started last has it, the other has gone whatever the list still says. False if that is this one.
 bool Sidecar::takesItsAddress(UpstreamId upstream, MembershipUpdate& update) {
   const Known& own = known_[upstream];
-  for (UpstreamId id = 0; id < known_.size(); ++id) {
-    Known& other = known_[id];
-    if (id == upstream || !other.listed || other.address != own.address) continue;
-    if (other.startedAtMs > own.startedAtMs) return false;
-    other.listed = false;
-    orchiddrum::UpstreamEntry gone;
-    gone.upstream = id;
-    gone.state = orchiddrum::UpstreamState::Gone;
-    gone.launchedAt = launchedAt(other.startedAtMs);
-    gone.identity = orchiddrum::identity(other.id);
-    update.entries.push_back(gone);
+  const auto holder = holders_.try_emplace(own.address, upstream).first;
+  const UpstreamId id = std::exchange(holder->second, upstream);
+  Known& other = known_[id];
+  if (id == upstream || !other.listed) return true;
+  if (other.startedAtMs > own.startedAtMs) {
+    holder->second = id;
+    return false;
   }
+  other.listed = false;
+  orchiddrum::UpstreamEntry gone;
+  gone.upstream = id;
+  gone.state = orchiddrum::UpstreamState::Gone;
+  gone.launchedAt = launchedAt(other.startedAtMs);
+  gone.identity = orchiddrum::identity(other.id);
+  update.entries.push_back(gone);
   return true;
 }
 
+void Sidecar::leaveAddress(UpstreamId upstream) {
+  const auto holder = holders_.find(known_[upstream].address);
+  if (holder != holders_.end() && holder->second == upstream) holders_.erase(holder);
+}
+
 void Sidecar::dropUse(UpstreamId upstream) {
   --known_[upstream].uses;
   freeUnused(upstream);
@@ -359,6 +368,7 @@
   Known& known = known_[upstream];
   if (known.listed || known.uses > 0 || known.id.empty()) return;
   ids_.erase(known.id);
+  leaveAddress(upstream);
   known = Known{};
   spare_.push_back(upstream);
 }
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -93,6 +94,7 @@
   void forget(orchiddrum::RequestId id);
   UpstreamId intern(const std::string& instanceId);
   bool takesItsAddress(UpstreamId upstream, orchiddrum::MembershipUpdate& update);
+  void leaveAddress(UpstreamId upstream);
   void dropUse(UpstreamId upstream);
   void freeUnused(UpstreamId upstream);
   Micros launchedAt(std::int64_t startedAtMs) const;
@@ -106,8 +108,9 @@
   Clock::time_point armedFor_ = Clock::time_point::max();
   std::unordered_map<orchiddrum::RequestId, Request> requests_;
   std::unordered_map<std::string, UpstreamId> ids_;
-  std::vector<Known> known_;       // by number
-  std::vector<UpstreamId> spare_;  // free numbers
+  std::vector<Known> known_;                // by number
+  std::vector<UpstreamId> spare_;           // free numbers
+  std::map<Endpoint, UpstreamId> holders_;  // of each address, the upstream that was listed there last
   Upstreams upstreams_;
   Discovery discovery_;
   Server server_;
