The reader of the configuration prints nothing: its remarks go to the program's log

Remarks are values now, printed once at the start; the module alone wraps. The test checks the three lines themselves.

--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -187,7 +187,6 @@
   if (s.sidecar >= s.sidecars) {
     site.remarks.push_back("index " + std::to_string(s.sidecar) + " is not under balancers, " +
                            std::to_string(s.sidecars) + "; taken for the rest of their division");
-    s.sidecar %= s.sidecars;
   }
   s.mustSubscribe = create.find("membershipMode").value_or("") == "subscribe";
   s.resolution = create.integer("resolution", 1, kMaxTime, s.resolution);
--- a/src/settings.h
+++ b/src/settings.h
@@ -58,8 +58,8 @@
   Settings settings;
   Numbering classes, tenants, zones, kinds;
   std::vector<std::optional<ReportColumn>> columns;  // of a load report, in its order; none: unknown
-  std::vector<std::string>
-      remarks;  // what was told and can't be meant, and what is taken instead, a line each
+  // What was told and can't be meant, and what is taken instead: a line each, for the program's log.
+  std::vector<std::string> remarks;
 };
 Site readSite(const Line& create);
 std::optional<ReportColumn> toColumn(std::string_view name);
--- a/src/sidecar/config.cpp
+++ b/src/sidecar/config.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <cmath>
-#include <cstdio>
 #include <cstdlib>
 #include <exception>
 #include <fstream>
@@ -106,11 +105,11 @@
 }
 
 // What the platform remembers of the last list is a help at the start, and no reason not to start.
-std::optional<InstanceList> toKnown(const json& object) {
+std::optional<InstanceList> toKnown(const json& object, std::vector<std::string>& remarks) {
   try {
     return toInstances(object);
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "the known list is left out: %s\n", error.what());
+    remarks.push_back(std::string("the known list is left out: ") + error.what());
     return std::nullopt;
   }
 }
@@ -166,13 +165,11 @@
       config.cores = file["limits"].value("cores", config.cores);
       if (!(config.cores > 0)) bad("limits.cores has to be over 0:", file["limits"]["cores"].dump());
     }
-    if (file.contains("known")) config.known = toKnown(file["known"]);
     std::string line = "settings";
     const json& settings = file.at("settings");
     flatten(settings, "", line);
     config.site = orchiddrum::readSite(orchiddrum::Line(line));
-    for (const std::string& remark : config.site.remarks)
-      std::fprintf(stderr, "settings: %s\n", remark.c_str());
+    if (file.contains("known")) config.known = toKnown(file["known"], config.site.remarks);
   } catch (const json::exception& error) {
     throw FormatError(error.what());
   }
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -10,6 +10,7 @@
 #include <exception>
 #include <functional>
 #include <string>
+#include <utility>
 
 #include "config.h"
 #include "operator/file.h"
@@ -49,7 +50,9 @@
     }
     boost::asio::io_context io(1);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
-    ivypost::Sidecar sidecar(io, ivypost::readConfig(), readFile(path));
+    ivypost::Config config = ivypost::readConfig();
+    for (const std::string& remark : config.site.remarks) std::fprintf(stderr, "%s\n", remark.c_str());
+    ivypost::Sidecar sidecar(io, std::move(config), readFile(path));
     const std::function<void()> listen = [&] {
       signals.async_wait([&](const boost::system::error_code& cancelled, int signal) {
         if (cancelled) return;
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -174,14 +174,15 @@
 
 // Guards against odd figures that keep a sidecar from starting, though it can do without them.
 TEST_F(SidecarTest, StartsWithOddFiguresOfTheFleetAndAnUnreadableKnownList) {
-  testing::internal::CaptureStderr();
   generation = 7;
-  start(1, {{"settings", {{"balancers", 0}, {"index", 12}, {"unheard", {{"of", {1, "x", nullptr}}}}}},
-            {"known", {{"generation", 5}, {"reset", true}, {"instances", {{{"instanceId", 3}}}}}}});
-  const std::string said = testing::internal::GetCapturedStderr();
-  EXPECT_NE(said.find("balancers is 0"), std::string::npos) << said;
-  EXPECT_NE(said.find("index 12 is not under balancers, 1"), std::string::npos) << said;
-  EXPECT_NE(said.find("known list is left out"), std::string::npos) << said;
+  const json odd = {{"settings", {{"balancers", 0}, {"index", 12}, {"unheard", {{"of", {1, "x", nullptr}}}}}},
+                    {"known", {{"generation", 5}, {"reset", true}, {"instances", {{{"instanceId", 3}}}}}}};
+  start(1, odd);
+  const auto remarks = configure(odd).site.remarks;
+  ASSERT_EQ(remarks.size(), 3u) << "one line each";
+  EXPECT_NE(remarks[0].find("balancers is 0"), std::string::npos) << remarks[0];
+  EXPECT_NE(remarks[1].find("index 12 is not under balancers, 1"), std::string::npos) << remarks[1];
+  EXPECT_NE(remarks[2].find("known list is left out"), std::string::npos) << remarks[2];
   EXPECT_NE(discovery.requests.back().message.target().find("index=7&"), beast::string_view::npos)
       << "the whole list was asked for instead";
   const Client from = client();
