No second pass over a warm list, and none over the held while all is out that may be

Found on reading the change again: earnColdCredit() went over the list twice for every request though nobody was cold, and a full room for requests out was found only after all upstreams had been judged, for each held request. A flag that the backoff tells already is gone.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -14,7 +14,6 @@
 #include <random>
 #include <stdexcept>
 #include <unordered_map>
-#include <utility>
 
 #include "figures.h"
 
@@ -30,10 +29,8 @@
 // Odds of a cold upstream that has its credit, against all warm ones together: its turn has come already.
 constexpr double kColdOdds = 0.125;
 // At their start all sidecars ask discovery by their numbers, one in this time (microseconds), but all within
-// this part of askWithin. Failed calls back off from these parts of askWithin or of that spread, and up to
-// these.
-constexpr double kFleetCallGap = 35'000;
-constexpr double kDiscoverySpread = 0.5;
+// this part of askWithin. Failed calls back off from these parts of askWithin or that spread, up to these.
+constexpr double kFleetCallGap = 35'000, kDiscoverySpread = 0.5;
 constexpr double kDiscoveryRetry = 1.0 / 32, kSpreadRetry = 0.25;
 constexpr double kDiscoveryLongest = 0.25, kSpreadLongest = 1.5;
 
@@ -57,8 +54,7 @@
 constexpr double kCalmForgets = 0.003;
 
 // The retry budget where none is stated: so many repeats, and so many for each request taken, in this span.
-constexpr double kRetryFloor = 10;
-constexpr double kRetryRatio = 0.2;
+constexpr double kRetryFloor = 10, kRetryRatio = 0.2;
 constexpr Micros kRetryLookBack = 5'000'000;
 
 // So many attempts in a row that meet crowding (a refusal, a time-out, or an answer that took more than this
@@ -132,8 +128,7 @@
 constexpr double kMaxLooks = 4;
 constexpr double kLookPatience = 4;
 
-// Bounds a setting, far above any sensible figure.
-constexpr double kMaxAimStretch = 1e6;
+constexpr double kMaxAimStretch = 1e6;  // far above any sensible setting
 
 // Shedding is over, for the log, when nothing was turned away unsent for this long.
 constexpr Micros kSheddingOver = 5'000'000;
@@ -481,9 +476,12 @@
   // costs it one, or more if it is heavy. If all sidecars do so, it is loaded like a warm one for what it can
   // do. One that rests earns nothing: what it earned with many sidecars would come all at once.
   void earnColdCredit() {
-    double present = 0;
-    for (const UpstreamId id : listed_) present += upstreams_[id].size * warmth(upstreams_[id], now_);
-    const double total = meanSize_ * static_cast<double>(listed_.size());
+    double present = 0, total = 0;
+    for (const UpstreamId id : listed_) {
+      present += upstreams_[id].size * warmth(upstreams_[id], now_);
+      total += upstreams_[id].size;
+    }
+    if (present == total) return;  // the usual case: all are warm
     const double share = std::min(1 / present, kMaxColdShare / total);
     for (const UpstreamId id : listed_) {
       Upstream& upstream = upstreams_[id];
@@ -623,14 +621,14 @@
     const bool first = !started_;
     started_ = true;
     if (update.kind == MembershipUpdate::Kind::Failed) {
-      const auto asked = static_cast<double>(settings_.askWithin);
+      const auto asked = static_cast<double>(std::max(settings_.askWithin, 32 * settings_.resolution));
       const double base = std::max(asked * kDiscoveryRetry, discoverySpread() * kSpreadRetry);
       const double longest = std::max(asked * kDiscoveryLongest, discoverySpread() * kSpreadLongest);
-      askLater(discoveryWait_.next(base, longest, uniform()));
-      if (!std::exchange(discoveryLost_, true)) act(Log{"discovery lost: deciding on the last list"});
+      if (!discoveryWait_.waits()) act(Log{"discovery lost: deciding on the last list"});
+      askLater(discoveryWait_.next(base, std::max(base, longest), uniform()));
       return;
     }
-    if (std::exchange(discoveryLost_, false)) act(Log{"discovery is back"});
+    if (discoveryWait_.waits()) act(Log{"discovery is back"});
     discoveryWait_.reset();
     const std::vector<UpstreamId> before = listed_;
     if (update.kind != MembershipUpdate::Kind::Changes) {
@@ -689,10 +687,7 @@
                     kFleetCallGap * settings_.sidecars);
   }
 
-  void askLater(double delay) {
-    wakes_.push(
-        {now_ + std::max(static_cast<Micros>(delay), settings_.resolution), 0, Wake::What::Discovery});
-  }
+  void askLater(double delay) { wakes_.push({now_ + static_cast<Micros>(delay), 0, Wake::What::Discovery}); }
 
   void askDiscovery() { settings_.mustSubscribe ? act(Subscribe{}) : act(Fetch{}); }
 
@@ -822,15 +817,21 @@
     return cut || event.resent ? (1 + cls.lateWorth) / 2 : 1;
   }
 
+  // Whether a blind sidecar has all out that it may. What is out at silent ones tells nothing of the others.
+  bool isWholeOut() const {
+    if (!blind_ || out_ + 1 <= wholeLimit_) return false;
+    double working = out_;
+    for (const UpstreamId id : listed_)
+      if (isSilent(upstreams_[id], now_)) working -= upstreams_[id].inFlight;
+    return working > 0 && working + 1 > wholeLimit_;
+  }
+
   std::vector<UpstreamId>& eligible(const Request& request, const Permission& may) {
     eligible_.clear();
-    if (!may.send || (restFor_ > 0 && now_ < restEnd(request))) return eligible_;
-    double working = out_;  // what is out at silent ones tells nothing of the others
+    if (!may.send || (restFor_ > 0 && now_ < restEnd(request)) || isWholeOut()) return eligible_;
     for (const UpstreamId id : listed_) {
       if (isReady(upstreams_[id], now_) && mayGoTo(id, request, may)) eligible_.push_back(id);
-      if (isSilent(upstreams_[id], now_)) working -= upstreams_[id].inFlight;
     }
-    if (blind_ && working > 0 && working + 1 > wholeLimit_) eligible_.clear();
     // A repeat goes to an upstream that this request has not met, as long as there is one.
     const auto met = [&](UpstreamId id) {
       return std::any_of(request.attempts.begin(), request.attempts.end(),
@@ -1187,7 +1188,7 @@
 
   // Gives held requests another look, the worthiest first, for as long as somebody is ready for one of them.
   void serveHeld() {
-    while (!held_.empty() && anyReady()) {
+    while (!held_.empty() && !isWholeOut() && anyReady()) {
       auto next = held_.end();
       double bestWorth = -1;
       for (auto at = held_.end(); at-- != held_.begin();) {
@@ -1273,7 +1274,6 @@
   Micros connectedAt_ = 0;      // the last one
   double ownZoneCpu_ = 0;       // smoothed, as upstreams of the own zone report it
   UpstreamId slot_ = kNone;     // the remembered upstream
-  bool discoveryLost_ = false;
   DecorrelatedJitter discoveryWait_;
 
   std::unordered_map<RequestId, Request> requests_;  // looked up only, never iterated
--- a/src/figures.h
+++ b/src/figures.h
@@ -38,6 +38,8 @@
     return last_;
   }
   void reset() { last_ = 0; }
+  // Whether there was a wait since the last reset, with a `base` over 0.
+  bool waits() const { return last_ > 0; }
 
  private:
   double last_ = 0;
