Console: the operators' calls read and routed, with connections of their own

call.* turns method and target into a call or the answer to a wrong one; console_io.* holds at most 24 connections, reads one call from each, and lets the oldest without a whole call give way. Nobody opens it yet.

Way not taken: the calls as further paths of the clients' server. They would share the door's places, and be refused or closed on with the clients in just the minutes in which operators call.

--- /dev/null
+++ b/src/console/console_io.cpp
@@ -0,0 +1,187 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+#include "console/console_io.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace ivypost::console {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using beast::error_code;
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t kMaxHeader = 8 * 1024;
+// Calls have no body; one that comes along is read and dropped up to this.
+constexpr std::size_t kMaxBody = 16UL * 1024;
+// A connection without a whole call is closed after so long, if it has not given way before.
+constexpr milliseconds kMaxCall{10'000};
+// What a caller still sends after its answer is dropped for so long: closing at once could cost it the
+// answer.
+constexpr milliseconds kLinger{200};
+constexpr milliseconds kAcceptPause{10};
+constexpr std::size_t kReadAtOnce = 4096;
+
+}  // namespace
+
+// One connection, until its call is answered.
+class Console::Session : public std::enable_shared_from_this<Session> {
+ public:
+  Session(Console& owner, tcp::socket socket)
+      : owner_(&owner), socket_(std::move(socket)), timer_(owner.io_) {}
+
+  void start() {
+    error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
+    parser_.header_limit(kMaxHeader);
+    parser_.body_limit(kMaxBody);
+    parser_.eager(true);
+    limit(kMaxCall);
+    readable();
+  }
+
+  bool answered() const { return answered_; }
+
+  // Its owner has let it go, or is gone itself.
+  void close() {
+    owner_ = nullptr;
+    timer_.cancel();
+    error_code ignored;
+    socket_.close(ignored);
+  }
+
+ private:
+  void finish() {
+    if (owner_ == nullptr) return;
+    const auto self = shared_from_this();
+    owner_->sessions_.remove(self);
+    close();
+  }
+
+  void limit(milliseconds span) {
+    timer_.expires_after(span);
+    timer_.async_wait([self = shared_from_this()](error_code cancelled) {
+      if (!cancelled && self->timer_.expiry() <= std::chrono::steady_clock::now()) self->finish();
+    });
+  }
+
+  // As a rule the whole call is there already when the connection is.
+  void readable() {
+    error_code error;
+    while (!error) {
+      buffer_.commit(socket_.receive(buffer_.prepare(kReadAtOnce), 0, error));
+      if (error == asio::error::would_block) return watch();
+      if (error) return finish();
+      if (answered_) {
+        buffer_.clear();
+        return watch();
+      }
+      while (!error && !parser_.is_done() && buffer_.size() > 0)
+        buffer_.consume(parser_.put(buffer_.data(), error));
+      if (error == http::error::need_more) error = {};
+      if (error || parser_.is_done()) return answer(error);
+    }
+  }
+
+  void watch() {
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+      if (self->owner_ == nullptr) return;
+      if (error) return self->finish();
+      self->readable();
+    });
+  }
+
+  Reply reply(error_code error) const {
+    if (error == http::error::header_limit) return {431, "header over 8 KiB"};
+    if (error == http::error::body_limit) return {413, "body over 16 KiB"};
+    if (error) return {400, "malformed HTTP: " + error.message()};
+    const auto& call = parser_.get();
+    const auto method = call.method_string();
+    const auto target = call.target();
+    const auto routed = route({method.data(), method.size()}, {target.data(), target.size()});
+    if (const auto* wrong = std::get_if<Reply>(&routed)) return *wrong;
+    return owner_->handler_(std::get<Call>(routed));
+  }
+
+  void answer(error_code error) {
+    const Reply said = reply(error);
+    answered_ = true;
+    const auto reason = http::obsolete_reason(static_cast<http::status>(said.status));
+    text_ = "HTTP/1.1 " + std::to_string(said.status) + " " + std::string(reason) +
+            "\r\nContent-Type: text/plain\r\nConnection: close\r\nContent-Length: " +
+            std::to_string(said.text.size() + 1) + "\r\n\r\n" + said.text + "\n";
+    buffer_.clear();
+    limit(kLinger);
+    asio::async_write(socket_, asio::buffer(text_),
+                      [self = shared_from_this()](error_code failed, std::size_t) {
+                        if (self->owner_ == nullptr) return;
+                        if (failed) return self->finish();
+                        error_code ignored;
+                        self->socket_.shutdown(tcp::socket::shutdown_send, ignored);
+                        self->watch();
+                      });
+  }
+
+  Console* owner_;  // none once it is closed
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  beast::flat_buffer buffer_;
+  http::request_parser<http::string_body> parser_;
+  std::string text_;
+  bool answered_ = false;
+};
+
+Console::Console(asio::io_context& io, const tcp::endpoint& address, Handler handler)
+    : io_(io), handler_(std::move(handler)), acceptor_(io), pause_(io) {
+  acceptor_.open(address.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(address);
+  acceptor_.listen();
+  acceptor_.non_blocking(true);
+  accept();
+}
+
+Console::~Console() {
+  for (const auto& session : sessions_) session->close();
+}
+
+void Console::accept() {
+  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted) return;
+    if (!error) {
+      admit(std::move(socket));
+      return accept();
+    }
+    // Guards against a loop that spins when descriptors have run out.
+    pause_.expires_after(kAcceptPause);
+    pause_.async_wait([this](error_code cancelled) {
+      if (!cancelled) accept();
+    });
+  });
+}
+
+void Console::admit(tcp::socket socket) {
+  if (sessions_.size() >= kMost) {
+    auto oldest =
+        std::find_if(sessions_.begin(), sessions_.end(), [](const auto& one) { return !one->answered(); });
+    if (oldest == sessions_.end()) oldest = sessions_.begin();
+    const auto leaving = *oldest;
+    sessions_.erase(oldest);
+    leaving->close();
+  }
+  sessions_.push_back(std::make_shared<Session>(*this, std::move(socket)));
+  const auto session = sessions_.back();  // it may end within
+  session->start();
+}
+
+}  // namespace ivypost::console
--- /dev/null
+++ b/tests/console/call_test.cpp
@@ -0,0 +1,53 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+#include "console/call.h"
+
+#include <gtest/gtest.h>
+
+namespace ivypost::console {
+namespace {
+
+TEST(ConsoleCall, EveryCallIsFound) {
+  struct Case {
+    const char *method, *target;
+    Call::What what;
+    const char* upstream;
+  };
+  for (const Case& one : {Case{"GET", "/api/ready", Call::What::Ready, ""},
+                          Case{"GET", "/api/ready?now=1", Call::What::Ready, ""},
+                          Case{"POST", "/api/exclude/s-5be2a07c", Call::What::Exclude, "s-5be2a07c"},
+                          Case{"POST", "/api/include/s%2D1%2f%20b", Call::What::Include, "s-1/ b"},
+                          Case{"POST", "/api/exclude/%25", Call::What::Exclude, "%"},
+                          Case{"POST", "/api/evacuate", Call::What::Evacuate, ""},
+                          Case{"POST", "/api/rejoin", Call::What::Rejoin, ""}}) {
+    const auto routed = route(one.method, one.target);
+    const auto* call = std::get_if<Call>(&routed);
+    ASSERT_NE(call, nullptr) << one.target;
+    EXPECT_EQ(call->what, one.what) << one.target;
+    EXPECT_EQ(call->upstream, one.upstream) << one.target;
+  }
+}
+
+TEST(ConsoleCall, WhatIsWrongGetsItsStatusInOneLine) {
+  struct Case {
+    const char *method, *target;
+    unsigned status;
+  };
+  for (const Case& one :
+       {Case{"POST", "/api/ready", 405}, Case{"GET", "/api/evacuate", 405},
+        Case{"GET", "/api/exclude/a", 405}, Case{"HEAD", "/api/ready", 405},
+        Case{"PUT", "/api/include/a", 405}, Case{"GET", "/", 404}, Case{"GET", "", 404},
+        Case{"GET", "/api/readyx", 404}, Case{"GET", "/api/ready/", 404}, Case{"POST", "/api/exclude", 404},
+        Case{"POST", "/api/exclude/", 404}, Case{"POST", "/api/exclude/a/b", 404},
+        Case{"POST", "/api/include/%", 404}, Case{"POST", "/api/include/a%4", 404},
+        Case{"POST", "/api/include/%zz", 404}, Case{"POST", "/api/include/%-1", 404},
+        Case{"POST", "/api/exclude/?a", 404}, Case{"POST", "/API/evacuate", 404}}) {
+    const auto routed = route(one.method, one.target);
+    const auto* reply = std::get_if<Reply>(&routed);
+    ASSERT_NE(reply, nullptr) << one.target;
+    EXPECT_EQ(reply->status, one.status) << one.target;
+    EXPECT_EQ(reply->text.find('\n'), std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace ivypost::console
--- /dev/null
+++ b/tests/console/console_io_test.cpp
@@ -0,0 +1,153 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// The console over loopback sockets: callers that are slow, wrong, many or silent.
+#include "console/console_io.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio.hpp>
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ivypost::console {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+class Caller {
+ public:
+  Caller(asio::io_context& io, std::uint16_t port) : line_(std::make_shared<Line>(io)) {
+    line_->socket.connect({asio::ip::address_v4::loopback(), port});
+    read(line_);
+  }
+  void send(const std::string& bytes) const { asio::write(line_->socket, asio::buffer(bytes)); }
+  const std::string& got() const { return line_->got; }
+  bool closed() const { return line_->closed; }
+  std::string status() const { return line_->got.substr(0, 12); }
+
+ private:
+  struct Line {
+    explicit Line(asio::io_context& io) : socket(io) {}
+    tcp::socket socket;
+    std::string got;
+    std::array<char, 1024> bytes{};
+    bool closed = false;
+  };
+  static void read(const std::shared_ptr<Line>& line) {
+    line->socket.async_read_some(asio::buffer(line->bytes), [line](error_code error, std::size_t size) {
+      line->got.append(line->bytes.data(), size);
+      line->closed = static_cast<bool>(error);
+      if (!error) read(line);
+    });
+  }
+  std::shared_ptr<Line> line_;
+};
+
+class ConsoleTest : public testing::Test {
+ protected:
+  ConsoleTest()
+      : console(io, {asio::ip::address_v4::loopback(), 0}, [this](const Call& call) {
+          calls.push_back(call);
+          return Reply{200, "done"};
+        }) {}
+
+  bool wait(const std::function<bool()>& condition) {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+    while (!condition()) {
+      if (std::chrono::steady_clock::now() > end) return false;
+      io.restart();
+      io.run_one_for(std::chrono::milliseconds(50));
+    }
+    return true;
+  }
+
+  Caller call(const std::string& text) {
+    Caller caller(io, console.port());
+    caller.send(text);
+    EXPECT_TRUE(wait([&] { return caller.closed(); })) << text;
+    return caller;
+  }
+
+  asio::io_context io;
+  std::vector<Call> calls;
+  Console console;
+};
+
+TEST_F(ConsoleTest, AnswersOneCallToAConnection) {
+  const std::string text = "POST /api/exclude/s-1 HTTP/1.1\r\nHost: x\r\n\r\n";
+  const Caller caller = call(text + text);
+  EXPECT_EQ(caller.status(), "HTTP/1.1 200");
+  EXPECT_NE(caller.got().find("Connection: close"), std::string::npos);
+  EXPECT_EQ(calls.size(), 1U);
+  EXPECT_EQ(caller.got().find("HTTP/1.1", 1), std::string::npos) << "a second answer";
+}
+
+TEST_F(ConsoleTest, TakesACallInSingleBytesAndOneWithABody) {
+  Caller caller(io, console.port());
+  for (const char byte : std::string("GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n")) {
+    EXPECT_TRUE(caller.got().empty());
+    caller.send(std::string(1, byte));
+    io.restart();
+    io.poll();
+  }
+  EXPECT_TRUE(wait([&] { return caller.closed(); }));
+  EXPECT_EQ(caller.status(), "HTTP/1.1 200");
+  EXPECT_EQ(call("POST /api/rejoin HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello").status(),
+            "HTTP/1.1 200");
+  EXPECT_EQ(
+      call("POST /api/rejoin HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n").status(),
+      "HTTP/1.1 200");
+  EXPECT_EQ(calls.size(), 3U);
+}
+
+TEST_F(ConsoleTest, WrongCallsChangeNothing) {
+  EXPECT_EQ(call("BLAH\r\n\r\n").status(), "HTTP/1.1 400");
+  EXPECT_EQ(call("GET /api/ready HTTP/9.9\r\n\r\n").status(), "HTTP/1.1 400");
+  EXPECT_EQ(call("GET /api/ready HTTP/1.1\r\nA: " + std::string(9000, 'a') + "\r\n\r\n").status(),
+            "HTTP/1.1 431");
+  EXPECT_EQ(call("POST /api/rejoin HTTP/1.1\r\nContent-Length: 17000\r\n\r\n").status(), "HTTP/1.1 413");
+  EXPECT_EQ(call("GET /api/evacuate HTTP/1.1\r\n\r\n").status(), "HTTP/1.1 405");
+  EXPECT_EQ(call("GET /metrics HTTP/1.1\r\n\r\n").status(), "HTTP/1.1 404");
+  EXPECT_TRUE(calls.empty());
+}
+
+// A call without its end is none: its connection may have broken in the middle of an id.
+TEST_F(ConsoleTest, ACallThatIsCutShortIsNotFollowed) {
+  {
+    Caller caller(io, console.port());
+    caller.send("POST /api/evacuate HTTP/1.1\r\nHost: x\r\n");
+    ASSERT_TRUE(wait([&] { return console.connections() == 1; }));
+  }
+  EXPECT_EQ(call("GET /api/ready HTTP/1.1\r\n\r\n").status(), "HTTP/1.1 200");
+  EXPECT_EQ(calls.size(), 1U);
+}
+
+// Hundreds that hold connections with no whole call, and stay: the oldest gives way, and the call is
+// answered.
+TEST_F(ConsoleTest, CallersThatHoldConnectionsKeepNobodyOut) {
+  std::deque<Caller> holders;
+  for (int n = 0; n < 300; ++n) {
+    holders.emplace_back(io, console.port());
+    holders.back().send("GET /api/rea");
+  }
+  const Caller caller = call("GET /api/ready HTTP/1.1\r\n\r\n");
+  EXPECT_EQ(caller.status(), "HTTP/1.1 200");
+  EXPECT_LE(console.connections(), Console::kMost);
+  EXPECT_TRUE(wait([&] { return holders.front().closed(); }));
+  EXPECT_FALSE(holders.back().closed());
+}
+
+TEST(Console, AnAddressInUseIsAnError) {
+  asio::io_context io;
+  const tcp::acceptor other(io, {asio::ip::address_v4::loopback(), 0});
+  EXPECT_THROW(Console(io, other.local_endpoint(), [](const Call&) { return Reply{}; }),
+               boost::system::system_error);
+}
+
+}  // namespace
+}  // namespace ivypost::console
