Console, drain, exclusions by hand and replacement on the platform's socket

Ruled out: the module, which is not asked in either.

server.cpp follows lifecycle's effects in place of stopping_ (follow(), tend()); its acceptor takes the platform's socket where $GW_FD gives one, never shuts it down and reads its queue empty only where nobody else does. Sidecar answers the console's calls, lays exclusions over each entry of a list before the module hears of it (laidOver()), and looks at the file of exclusions every 100 ms for what the other process was told.

Ways not taken: inotify for that file (one more descriptor and a kind of event that the loop does not have); counting the other process's descriptors: where the platform holds the socket each process keeps to half, always. A console that can't be bound is tried again each second while clients are served; a bad $GW_FD is one line, and the process listens by itself.

--- a/src/sidecar/config.cpp
+++ b/src/sidecar/config.cpp
@@ -1,6 +1,8 @@
 // Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
 #include "config.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
@@ -21,6 +23,11 @@
 using orchiddrum::FormatError;
 
 constexpr double kMaxWeight = 1e6;
+// Descriptors of the process itself: its log, the loop's own, signals, what it listens on, discovery, files.
+constexpr double kOwnSockets = 16;
+// And of the operators' console, where there is one.
+constexpr double kConsoleSockets = 25;
+constexpr double kPoolShare = 0.9;
 
 // Values stand in a line of name=value pairs, where a space would end them and a comma part them.
 std::string word(std::string text) {
@@ -128,8 +135,43 @@
   return file.at(key).get<std::string>();
 }
 
+// The number that GW_FD gives, if it is a listening socket at this address. Else one line says what is wrong,
+// and the process listens by itself, as without it.
+std::optional<int> toListener(const Endpoint& listen, std::vector<std::string>& remarks) {
+  const char* const text = std::getenv("GW_FD");
+  if (text == nullptr || *text == '\0') return std::nullopt;
+  const std::string_view digits(text);
+  const auto wrong = [&](const char* why) {
+    remarks.push_back("GW_FD " + word(std::string(digits)) + " " + why +
+                      "; a socket of our own is listened on");
+    return std::nullopt;
+  };
+  int number = -1;
+  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), number);
+  if (error != std::errc() || end != digits.data() + digits.size() || number < 0)
+    return wrong("is no descriptor's number");
+  int listens = 0;
+  socklen_t size = sizeof listens;
+  if (::getsockopt(number, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) != 0 || listens == 0)
+    return wrong("is no listening socket");
+  Endpoint bound;
+  size = static_cast<socklen_t>(bound.capacity());
+  if (::getsockname(number, bound.data(), &size) != 0) return wrong("has no address");
+  bound.resize(size);
+  if (bound.address() != listen.address() || (listen.port() != 0 && bound.port() != listen.port()))
+    return wrong("listens at another address");
+  return number;
+}
+
 }  // namespace
 
+double Config::poolSockets() const {
+  // While a process is replaced the old one and the new one share the limit, so each keeps to half of it.
+  const double all = static_cast<double>(sockets) / (listener ? 2 : 1);
+  if (!console) return kPoolShare * all;
+  return std::max(2.0, std::min(kPoolShare * all, all - kOwnSockets - kConsoleSockets));
+}
+
 Endpoint parseEndpoint(const std::string& text) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string::npos || colon == 0) bad("not an address and port:", text);
@@ -159,6 +201,10 @@
     config.name = told(file, "name", "GW_NAME");
     config.listen = parseEndpoint(told(file, "listen", "GW_LISTEN"));
     config.discovery = parseEndpoint(told(file, "discovery", "GW_DISCOVERY"));
+    const char* const console = std::getenv("GW_CONSOLE");
+    if (file.contains("console") || (console != nullptr && *console != '\0'))
+      config.console = parseEndpoint(told(file, "console", "GW_CONSOLE"));
+    if (const char* const folder = std::getenv("TMPDIR")) config.tempFolder = folder;
     config.seed = toSeed(file.at("seed").get<std::string>());
     if (file.contains("limits")) {
       config.sockets = file["limits"].value("sockets", config.sockets);
@@ -169,6 +215,7 @@
     const json& settings = file.at("settings");
     flatten(settings, "", line);
     config.site = orchiddrum::readSite(orchiddrum::Line(line));
+    config.listener = toListener(config.listen, config.site.remarks);
     if (file.contains("known")) config.known = toKnown(file["known"], config.site.remarks);
   } catch (const json::exception& error) {
     throw FormatError(error.what());
--- a/src/sidecar/config.h
+++ b/src/sidecar/config.h
@@ -39,12 +39,20 @@
 struct Config {
   std::string name;
   Endpoint listen, discovery;
+  std::optional<Endpoint> console;  // the operators' address; none: off
+  // The platform's listening socket for clients; none: this process makes its own.
+  std::optional<int> listener;
+  std::string tempFolder;  // that outlives the process while it is replaced; empty: none
   std::uint64_t seed = 0;
   double cores = 1;                   // of processor that the process may use
   std::size_t sockets = 1024;         // file descriptors that the process may hold
   std::optional<InstanceList> known;  // none: there was none, or it could not be read
   orchiddrum::Site site;
   std::vector<std::string> classNames;  // by number
+
+  // Descriptors that connections of clients and to upstreams may hold. The rest is the process's own, and the
+  // console's.
+  double poolSockets() const;
 };
 
 // All of these throw orchiddrum::FormatError with a message for one line of the log.
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -49,15 +49,16 @@
 constexpr milliseconds kKernelTick{10};
 // The longest time that a client may ask for, so that sums of times stay far from overflow.
 constexpr std::int64_t kMaxExpiresInMs = 3'600'000;
-// New connections go on coming for up to 0.4 s after SIGTERM.
-constexpr milliseconds kAcceptAfterStop{500};
-// SIGKILL comes no sooner than the longest deadline (3 s) and 0.7 s after SIGTERM.
-constexpr milliseconds kStopWithin{3600};
-constexpr milliseconds kStopCheck{20};
+// While the server drains or stops, its connections are gone through so often.
+constexpr milliseconds kTendEvery{20};
+// Who still comes when requests are refused for a drain gets so long for a head.
+constexpr milliseconds kMaxRefused{300};
+// A connection that has sent nothing since it came is not idle before this: its request is on the way.
+constexpr Micros kSettling = 300'000;
 // When the kernel has no descriptor for a new connection, accepting waits this long.
 constexpr milliseconds kAcceptPause{10};
-// Part of the descriptors that clients' connections may hold.
-constexpr double kClientShare = 0.55;
+// Part of the pools' descriptors that clients' connections may hold.
+constexpr double kClientShare = 0.6112;
 
 template <class Number>
 std::optional<Number> toNumber(std::string_view text, int base = 10) {
@@ -87,7 +88,7 @@
   settings.keepAny = file.door.keepAny;
   settings.keepUsed = file.door.keepUsed;
   settings.work = file.door.work;
-  const double places = kClientShare * static_cast<double>(config.sockets);
+  const double places = kClientShare * config.poolSockets();
   settings.places = std::max<std::size_t>(1, static_cast<std::size_t>(places));
   return settings;
 }
@@ -122,7 +123,8 @@
     return peek() == asio::error::would_block;
   }
 
-  bool answered() const { return place_->requests > 0; }
+  // Whether it has been here for long enough to count as idle when it sends nothing.
+  bool settled(Micros time) const { return place_->requests > 0 || time - place_->since >= kSettling; }
 
   // Whether closing it costs its client nothing.
   bool givesWay() {
@@ -137,7 +139,7 @@
   // Answers what the client has sent, and goes on or hangs up.
   void write(Answer answer) {
     state_ = State::Writing;
-    last_ = !keepAlive_ || server_.stopping_ || !server_.door_.keeps(place_);
+    last_ = !keepAlive_ || !server_.effects_.keeps || !server_.door_.keeps(place_);
     wrong_ = answer.status / 100 == 4;
     const auto reason = http::obsolete_reason(static_cast<http::status>(answer.status));
     head_ = "HTTP/1.1 " + std::to_string(answer.status) + " " + std::string(view(reason)) +
@@ -240,7 +242,11 @@
     const bool first = place_->state == admission::Door::State::Silent;
     state_ = State::Reading;
     // The first one's time began when it was let in, and its timer runs.
-    if (!first) limit(Clock::now() + kMaxRequest);
+    if (!server_.effects_.takes) {
+      limit(Clock::now() + kMaxRefused);
+    } else if (!first) {
+      limit(Clock::now() + kMaxRequest);
+    }
     server_.door_.begin(place_, now());
     readHead(true);
   }
@@ -406,6 +412,7 @@
       callbacks_(std::move(callbacks)),
       acceptor_(io),
       timer_(io),
+      tendTimer_(io),
       deadlines_(std::make_shared<Deadlines>(io)),
       door_(doorSettings(config, file)),
       gate_(io, config, file,
@@ -414,12 +421,15 @@
                answer(id, refusal(std::string("refused: ") + admission::nameOf(why)));
              }}),
       statusOn_(file.status.level) {
-  acceptor_.open(config.listen.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(config.listen);
-  acceptor_.listen();
+  if (config.listener) {
+    acceptor_.assign(config.listen.protocol(), *config.listener);
+  } else {
+    acceptor_.open(config.listen.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(config.listen);
+    acceptor_.listen();
+  }
   acceptor_.non_blocking(true);
-  accept();
 }
 
 Server::~Server() {
@@ -427,9 +437,11 @@
 }
 
 void Server::accept() {
-  if (!acceptor_.is_open()) return;
+  if (!effects_.accepts || !acceptor_.is_open()) return;
   if (door_.full() && !makeRoom()) return acceptLater();
+  if (std::exchange(accepting_, true)) return;
   acceptor_.async_accept([this](error_code error, tcp::socket socket) {
+    accepting_ = false;
     if (!acceptor_.is_open()) return;
     if (!error) {
       admit(std::move(socket));
@@ -552,7 +564,7 @@
   const bool isGet = message.method() == http::verb::get;
   if (path == "/ready") {
     if (!isGet) return plain(405, "GET only");
-    return stopping_ ? plain(503, "stopping") : plain(200, "ready");
+    return effects_.ready ? plain(200, "ready") : plain(503, "not ready");
   }
   if (statusOn_ && path == "/status/level") {
     if (!isGet) return plain(405, "GET only");
@@ -560,6 +572,7 @@
     answer.contentType = "application/json";
     return answer;
   }
+  if (!effects_.takes) return refusal("refused: clients are sent away");
   if (repeatsAHeader(message)) return plain(400, "a header stands there twice");
   const orchiddrum::Site& site = config_.site;
   const auto parts = orchiddrum::split(path.substr(path.empty() ? 0 : 1), '/');
@@ -615,50 +628,54 @@
   return request;
 }
 
-void Server::stop(std::function<void()> stopped) {
-  if (stopping_) return;
-  stopping_ = true;
-  stopped_ = std::move(stopped);
-  // A client whose request crosses this sends it once more on a new connection, which is still taken.
+void Server::follow(const lifecycle::Effects& effects) {
+  const bool accepted = std::exchange(effects_, effects).accepts;
+  if (effects.accepts) {
+    if (!accepted) accept();
+  } else if (accepted) {
+    closeAcceptor();
+  }
+  if (effects.closesIdle && !tending_) tend();
+}
+
+// Closes what is idle while the server drains or stops, and tells when nothing is left to answer.
+void Server::tend() {
+  tending_ = effects_.closesIdle;
+  if (!tending_) return;
+  const Micros time = now();
+  // A client whose request crosses this sends it once more on a new connection.
   const auto sessions = sessions_;
   for (const auto& [id, session] : sessions) {
-    if (session->answered() && session->quiet()) session->close();
+    if (session->settled(time) && session->quiet()) session->close();
   }
-  const auto from = Clock::now();
-  const auto wait = std::make_shared<asio::steady_timer>(io_, from + kAcceptAfterStop);
-  wait->async_wait([this, wait, from](error_code) {
-    closeAcceptor();
-    finish(Clock::now() + kLinger, from + kStopWithin);
+  if (effects_.mayEnd) {
+    const bool allIdle =
+        std::all_of(sessions_.begin(), sessions_.end(), [](const auto& one) { return one.second->idle(); });
+    if (allIdle || effects_.mustEnd) {
+      const auto left = std::exchange(open_, {});
+      for (const auto& [id, session] : left) session->write(plain(504, "stopping"));
+      return callbacks_.ended();
+    }
+  }
+  tendTimer_.expires_after(kTendEvery);
+  tendTimer_.async_wait([this](error_code cancelled) {
+    if (!cancelled) tend();
   });
 }
 
 void Server::closeAcceptor() {
-  // Whatever stands in the queue counts as taken.
-  for (;;) {
+  // Whatever stands in the queue counts as taken, unless another process reads it too.
+  while (!config_.listener) {
     error_code error;
     tcp::socket socket(io_);
     acceptor_.accept(socket, error);
     if (error) break;
     admit(std::move(socket));
   }
+  // Closed, and never shut down: an inherited one stays open for the other process.
   error_code ignored;
   acceptor_.close(ignored);
   waitsForRoom_ = false;
 }
 
-void Server::finish(Clock::time_point lingerUntil, Clock::time_point stopBy) {
-  const auto time = Clock::now();
-  const bool allIdle =
-      std::all_of(sessions_.begin(), sessions_.end(), [](const auto& one) { return one.second->idle(); });
-  if ((allIdle && time >= lingerUntil) || time >= stopBy) {
-    const auto left = std::exchange(open_, {});
-    for (const auto& [id, session] : left) session->write(plain(504, "stopping"));
-    return stopped_();
-  }
-  timer_.expires_after(kStopCheck);
-  timer_.async_wait([this, lingerUntil, stopBy](error_code cancelled) {
-    if (!cancelled) finish(lingerUntil, stopBy);
-  });
-}
-
 }  // namespace ivypost
--- a/src/sidecar/server.h
+++ b/src/sidecar/server.h
@@ -24,6 +24,7 @@
 #include "config.h"
 #include "deadlines.h"
 #include "gate.h"
+#include "lifecycle/lifecycle.h"
 
 namespace ivypost {
 
@@ -42,9 +43,12 @@
     std::function<void(orchiddrum::RequestId)> over;
     // What GET /status/level answers, as JSON; asked only where the operator has switched it on.
     std::function<std::string()> status;
+    // All that was taken is answered, or has to be left, and the lifecycle lets the process end.
+    std::function<void()> ended;
   };
 
-  // Throws boost::system::system_error when it cannot listen, and what Gate throws.
+  // Listens, and accepts when follow() says so. Throws boost::system::system_error when it cannot listen, and
+  // what Gate throws.
   Server(boost::asio::io_context& io, const Config& config, const op::File& file, Callbacks callbacks);
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
@@ -53,8 +57,8 @@
   // Gives the request its final answer. Ignored when the request is over.
   void answer(orchiddrum::RequestId id, Answer answer);
 
-  // Takes what still comes for a while, answers all that was taken, then calls back once.
-  void stop(std::function<void()> stopped);
+  // What holds from now on.
+  void follow(const lifecycle::Effects& effects);
 
   // Takes the operator's file over; gate().check() has to have passed.
   void adopt(const op::File& file);
@@ -78,7 +82,7 @@
   void closeAcceptor();
   // The request is over. False if it was before.
   bool endRequest(const Session& session);
-  void finish(Clock::time_point lingerUntil, Clock::time_point stopBy);
+  void tend();
 
   // What the request reads as, or the answer it gets at once.
   // `unread`: since its last byte came.
@@ -94,14 +98,15 @@
   const Config& config_;
   Callbacks callbacks_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer timer_;
+  boost::asio::steady_timer timer_, tendTimer_;
   const std::shared_ptr<Deadlines> deadlines_;  // of the sessions
   admission::Door door_;
   Gate gate_;
   bool statusOn_;
-  bool waitsForRoom_ = false;  // accepting does
-  bool stopping_ = false;
-  std::function<void()> stopped_;
+  lifecycle::Effects effects_;  // nothing yet
+  bool accepting_ = false;      // the next connection is waited for
+  bool waitsForRoom_ = false;   // accepting does
+  bool tending_ = false;
   admission::VisitorId lastVisitor_ = 0;
   std::unordered_map<admission::VisitorId, std::shared_ptr<Session>> sessions_;
   orchiddrum::RequestId lastId_ = 0;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -20,6 +20,14 @@
 
 // A repeat is written this long before its window ends at the latest: it has to arrive within it.
 constexpr microseconds kWindowMargin{10'000};
+// How soon this process hears of what operators have told the other one, while one replaces the other.
+constexpr std::chrono::milliseconds kRotationEvery{100};
+// The console's address is tried again so often when it can't be bound.
+constexpr std::chrono::milliseconds kConsoleAgain{1000};
+
+void log(const std::string& line) {
+  std::fprintf(stderr, "%s\n", line.c_str());
+}
 
 Micros unixNow() {
   return duration_cast<microseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
@@ -44,18 +52,43 @@
       discovery_(io, config_,
                  {[this](const InstanceList& list) {
                     onList(list, list.whole ? MembershipUpdate::Kind::Full : MembershipUpdate::Kind::Changes);
+                    onLifecycle(lifecycle::Event::Listed);
                   },
                   [this] {
                     handle(MembershipUpdate{MembershipUpdate::Kind::Failed, {}});
                   }}),
       server_(io, config_, file,
               {[this](ClientRequest client) { onTaken(std::move(client)); },
-               [this](RequestId id) { onOver(id); }, [this] { return status(); }}),
+               [this](RequestId id) { onOver(id); }, [this] { return status(); },
+               [this] {
+                 if (stopped_) stopped_();
+               }}),
       level_(io, config_.cores,
-             {[this] { return gauges(); }, [this](levels::Level level) { onLevel(level); }}) {
+             {[this] { return gauges(); }, [this](levels::Level level) { onLevel(level); }}),
+      lifecycle_({config_.listener.has_value(), config_.known && !config_.known->instances.empty()}, now()),
+      lifecycleTimer_(io),
+      rotationFile_(config_.tempFolder, log),
+      rotationTimer_(io),
+      consoleTimer_(io) {
   level_.adopt(file.levels);
+  if (config_.console) {
+    if (auto kept = rotationFile_.read()) rotation_ = std::move(*kept);
+    watchRotation();
+  }
   onList(config_.known.value_or(InstanceList{}), MembershipUpdate::Kind::Saved);
   if (!config_.site.settings.mustSubscribe) discovery_.watch();
+  onLifecycle(lifecycle::Event::Tick);
+  if (config_.console) openConsole();
+}
+
+void Sidecar::stop(std::function<void()> stopped) {
+  if (lifecycle_.state() == lifecycle::State::Stopping) return;
+  stopped_ = std::move(stopped);
+  onLifecycle(lifecycle::Event::Terminate);
+}
+
+std::optional<std::uint16_t> Sidecar::consolePort() const {
+  return console_ ? std::optional(console_->port()) : std::nullopt;
 }
 
 void Sidecar::reload(const Config& config, const op::File& file) {
@@ -148,7 +181,8 @@
   if (list.whole) {
     for (Known& known : known_) known.listed = false;  // whoever is missing has gone
   }
-  for (const Instance& instance : list.instances) {
+  for (const Instance& told : list.instances) {
+    const Instance instance = laidOver(told);
     if (instance.state == orchiddrum::UpstreamState::Gone && ids_.count(instance.id) == 0) continue;
     orchiddrum::UpstreamEntry entry;
     entry.upstream = intern(instance.id);
@@ -164,6 +198,7 @@
     if (known.address != instance.address) leaveAddress(entry.upstream);
     known.address = instance.address;
     known.startedAtMs = instance.startedAtMs;
+    known.told = told;
     known.listed = instance.state != orchiddrum::UpstreamState::Gone;
     if (known.listed && !takesItsAddress(entry.upstream, update)) {
       known.listed = false;
@@ -179,7 +214,9 @@
   if (list.whole && !anyUp) std::fprintf(stderr, "the whole list names no upstream that is up\n");
   handle(update);
   for (const auto& entry : update.entries) {
-    if (entry.state == orchiddrum::UpstreamState::Draining) upstreams_.takeBack(entry.upstream);
+    if (entry.state != orchiddrum::UpstreamState::Draining) continue;
+    upstreams_.takeBack(entry.upstream);
+    if (rotation_.isOut(known_[entry.upstream].id)) upstreams_.closeIdle(entry.upstream);
   }
   for (UpstreamId upstream = 0; upstream < known_.size(); ++upstream) {
     if (known_[upstream].listed || known_[upstream].id.empty()) continue;
@@ -193,6 +230,116 @@
   handle(orchiddrum::TimerDue{});
 }
 
+// ---- Operators
+// ------------------------------------------------------------------------------------------------
+
+void Sidecar::onLifecycle(lifecycle::Event event) {
+  const auto before = lifecycle_.state();
+  lifecycle_.handle(event, now());
+  if (lifecycle_.state() != before)
+    log(std::string("the sidecar is ") + lifecycle::nameOf(lifecycle_.state()));
+  server_.follow(lifecycle_.effects());
+  const auto next = lifecycle_.nextChange();
+  if (!next) {
+    lifecycleTimer_.cancel();
+    return;
+  }
+  lifecycleTimer_.expires_at(Clock::time_point(microseconds(*next)));
+  lifecycleTimer_.async_wait([this](const boost::system::error_code& cancelled) {
+    if (!cancelled) onLifecycle(lifecycle::Event::Tick);
+  });
+}
+
+// An entry as the module hears of it: out by hand is a drain, back by hand a start.
+Instance Sidecar::laidOver(const Instance& told) const {
+  Instance laid = told;
+  if (rotation_.empty()) return laid;
+  if (laid.state == orchiddrum::UpstreamState::Serving && rotation_.isOut(laid.id))
+    laid.state = orchiddrum::UpstreamState::Draining;
+  laid.startedAtMs = rotation_.startedAtMs(laid.id, laid.startedAtMs);
+  return laid;
+}
+
+void Sidecar::onRotation(rotation::Rotation next) {
+  const std::vector<std::string> ids = rotation_.differences(next);
+  rotation_ = std::move(next);
+  InstanceList changed;
+  for (const std::string& id : ids) {
+    const auto found = ids_.find(id);
+    if (found != ids_.end() && known_[found->second].listed)
+      changed.instances.push_back(known_[found->second].told);
+  }
+  if (!changed.instances.empty()) onList(changed, MembershipUpdate::Kind::Changes);
+}
+
+// Either process may be called while one replaces the other.
+void Sidecar::watchRotation() {
+  rotationTimer_.expires_after(kRotationEvery);
+  rotationTimer_.async_wait([this](const boost::system::error_code& cancelled) {
+    if (cancelled) return;
+    if (auto next = rotationFile_.read()) onRotation(std::move(*next));
+    watchRotation();
+  });
+}
+
+void Sidecar::openConsole() {
+  try {
+    console_ = std::make_unique<console::Console>(io_, *config_.console,
+                                                  [this](const console::Call& call) { return onCall(call); });
+    if (consoleFailed_) log("the console listens now");
+  } catch (const boost::system::system_error& error) {
+    if (!std::exchange(consoleFailed_, true))
+      log(std::string("the console can't listen, and is tried again: ") + error.what());
+    consoleTimer_.expires_after(kConsoleAgain);
+    consoleTimer_.async_wait([this](const boost::system::error_code& cancelled) {
+      if (!cancelled) openConsole();
+    });
+  }
+}
+
+console::Reply Sidecar::onCall(const console::Call& call) {
+  using What = console::Call::What;
+  switch (call.what) {
+    case What::Ready:
+      return {lifecycle_.effects().ready ? 200U : 503U, lifecycle::nameOf(lifecycle_.state())};
+    case What::Evacuate:
+    case What::Rejoin:
+      if (lifecycle_.state() == lifecycle::State::Stopping) return {409, "the sidecar is stopping"};
+      onLifecycle(call.what == What::Evacuate ? lifecycle::Event::Evacuate : lifecycle::Event::Rejoin);
+      return {200, lifecycle::nameOf(lifecycle_.state())};
+    case What::Exclude:
+    case What::Include:
+      return changeRotation(call);
+  }
+  return {404, "unknown call"};
+}
+
+console::Reply Sidecar::changeRotation(const console::Call& call) {
+  using Change = rotation::Rotation::Change;
+  const bool exclude = call.what == console::Call::What::Exclude;
+  const auto named = ids_.find(call.upstream);
+  const bool listed = named != ids_.end() && known_[named->second].listed;
+  rotation::Rotation next = rotation_;
+  Change change = Change::None;
+  bool unknown = false;
+  std::string why;
+  const auto apply = [&](rotation::Rotation& current) {
+    unknown = !listed && !current.isOut(call.upstream);
+    if (unknown) return;
+    change = exclude ? current.exclude(call.upstream) : current.include(call.upstream, unixNow() / 1000);
+  };
+  if (!rotationFile_.change(next, apply, why)) return {503, why};
+  onRotation(std::move(next));
+  if (unknown) return {404, "no upstream has this id"};
+  if (change == Change::Full) return {503, "too many upstreams are out, or the id is too long"};
+  if (change == Change::Done) log((exclude ? "excluded by hand: " : "included by hand: ") + call.upstream);
+  const bool out = rotation_.isOut(call.upstream);
+  return {200, std::string(change == Change::None ? "already " : "") + (out ? "excluded" : "included")};
+}
+
+// ---- Levels
+// ---------------------------------------------------------------------------------------------------
+
 void Sidecar::onLevel(levels::Level level) {
   const levels::Effect effect = levels::effectOf(level);
   server_.gate().reduce(effect);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -11,12 +11,16 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "config.h"
+#include "console/console_io.h"
 #include "discovery.h"
+#include "lifecycle/lifecycle.h"
+#include "rotation/rotation_file.h"
 #include "server.h"
 #include "service_level.h"
 #include "upstreams.h"
@@ -33,11 +37,14 @@
   // the next start. Throws orchiddrum::FormatError, and then nothing has changed.
   void reload(const Config& config, const op::File& file);
 
-  // Goes on taking requests for a while, answers all of them, then calls back.
-  void stop(std::function<void()> stopped) { server_.stop(std::move(stopped)); }
+  // SIGTERM: answers all that was taken, then calls back once.
+  void stop(std::function<void()> stopped);
 
   std::uint16_t port() const { return server_.port(); }
   levels::Level level() const { return level_.level(); }
+  lifecycle::State state() const { return lifecycle_.state(); }
+  // None: there is no console, or it could not be bound yet.
+  std::optional<std::uint16_t> consolePort() const;
   // For tests: the upstreams' numbers, in use and free; connections to them that are not up yet.
   std::size_t upstreamNumbers() const { return known_.size(); }
   std::size_t comingUp() const { return upstreams_.comingUp(); }
@@ -62,6 +69,7 @@
     std::string id;  // empty: the number is free
     Endpoint address;
     std::int64_t startedAtMs = 0;
+    Instance told;  // as the list has it, without what operators have laid over it
     bool listed = false;
     std::uint32_t uses = 0;  // attempts of requests not forgotten yet, and probes out
   };
@@ -73,6 +81,12 @@
   void onProbed(const ProbeEnd& end);
   void onList(const InstanceList& list, orchiddrum::MembershipUpdate::Kind kind);
   void onTimer();
+  void onLifecycle(lifecycle::Event event);
+  void onRotation(rotation::Rotation next);
+  console::Reply onCall(const console::Call& call);
+  console::Reply changeRotation(const console::Call& call);
+  void openConsole();
+  void watchRotation();
   void onLevel(levels::Level level);
   levels::Gauges gauges();
   std::string status() const;
@@ -98,6 +112,7 @@
   void dropUse(UpstreamId upstream);
   void freeUnused(UpstreamId upstream);
   Micros launchedAt(std::int64_t startedAtMs) const;
+  Instance laidOver(const Instance& told) const;
 
   boost::asio::io_context& io_;
   const Config config_;
@@ -115,6 +130,14 @@
   Discovery discovery_;
   Server server_;
   ServiceLevel level_;
+  lifecycle::Lifecycle lifecycle_;
+  boost::asio::steady_timer lifecycleTimer_;
+  std::function<void()> stopped_;
+  rotation::Rotation rotation_;
+  rotation::RotationFile rotationFile_;
+  boost::asio::steady_timer rotationTimer_, consoleTimer_;
+  bool consoleFailed_ = false;
+  std::unique_ptr<console::Console> console_;
 };
 
 }  // namespace ivypost
--- a/src/sidecar/upstreams.cpp
+++ b/src/sidecar/upstreams.cpp
@@ -25,8 +25,8 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-// Part of the descriptors that connections to upstreams may hold.
-constexpr double kUpstreamShare = 0.35;
+// Part of the pools' descriptors that connections to upstreams may hold.
+constexpr double kUpstreamShare = 0.389;
 // What the kernel may hold of a request that nobody reads, as SO_SNDBUF takes it (Linux doubles it). A small
 // buffer lets a large body's write stand still, so that the request is known never to have come whole.
 constexpr int kSendBuffer = 16 * 1024;
@@ -304,7 +304,7 @@
       config_(config),
       callbacks_(std::move(callbacks)),
       deadlines_(std::make_shared<Deadlines>(io)),
-      maxConnections_(static_cast<std::size_t>(kUpstreamShare * static_cast<double>(config.sockets))),
+      maxConnections_(static_cast<std::size_t>(kUpstreamShare * config.poolSockets())),
       connectTimeout_(kDefaultConnectTimeout),
       idleTime_(kDefaultIdleTime) {
   const auto& settings = config.site.settings;
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -519,7 +519,9 @@
   Server server(io, config, op::File{},
                 {[&](const ClientRequest& request) { taken.push_back(request.id); },
                  [&](orchiddrum::RequestId id) { over.push_back(id); },
+                 {},
                  {}});
+  server.follow(lifecycle::Lifecycle({}, 0).effects());
   const Client from(io, server.port());
   Request request;
   request.expiresInMs = 100;
