Bodies and answers of up to 32 MB pass in pieces under one byte budget

server.cpp and upstreams.cpp read and write large bodies through relay::Pipe; stream_writer.h writes a pipe to either side. Up to 64 KiB all is read whole as before. A larger request body is held whole up to 2 MiB as far as the budget goes, other than planned: it can be sent again, takes no upstream's time while its client writes, and its time counts from its last byte by itself. Beyond that it streams; then the deadline is estimated from the pace until the last byte has come. An answer that breaks midway resets its client's connection. Answers without a length are taken where they say Connection: close.

--- a/src/sidecar/client_request.h
+++ b/src/sidecar/client_request.h
@@ -11,11 +11,20 @@
 
 #include "clock.h"
 #include "config.h"
+#include "relay/pipe.h"
 
 namespace ivypost {
 
 using Message = boost::beast::http::request<boost::beast::http::string_body>;
 
+// A request's body that is still coming in when the request is passed on.
+struct Upload {
+  explicit Upload(relay::Budget& budget) : pipe(budget) {}
+  relay::Pipe pipe;
+  std::optional<std::uint64_t> length;  // none: it comes in chunks
+  Clock::time_point deadline;           // of the request: an estimate until the last byte has come
+};
+
 struct ClientRequest {
   orchiddrum::RequestId id = 0;  // the server's own number, never given twice; a client's may come again
   std::uint32_t requestClass = 0;
@@ -26,7 +35,8 @@
   std::uint64_t trace = 0;  // the client's X-Trace-Id
   Micros expiresIn = 0;     // from when it was read
   Clock::time_point arrived, deadline;
-  std::shared_ptr<const Message> message;
+  std::shared_ptr<const Message> message;  // without the body if there is an upload
+  std::shared_ptr<Upload> upload;          // none: the body has come whole
 };
 
 }  // namespace ivypost
--- a/src/sidecar/config.cpp
+++ b/src/sidecar/config.cpp
@@ -28,6 +28,10 @@
 // And of the operators' console, where there is one.
 constexpr double kConsoleSockets = 25;
 constexpr double kPoolShare = 0.9;
+// Part of the memory for bodies in transit. Strings that grow hold up to twice what is in them, and what each
+// pipe holds at the least, the program and its tables need the rest.
+constexpr double kRelayShare = 0.35;
+constexpr double kMostMemoryMb = 1e6;
 
 // Values stand in a line of name=value pairs, where a space would end them and a comma part them.
 std::string word(std::string text) {
@@ -172,6 +176,10 @@
   return std::max(2.0, std::min(kPoolShare * all, all - kOwnSockets - kConsoleSockets));
 }
 
+std::size_t Config::relayBytes() const {
+  return static_cast<std::size_t>(kRelayShare * std::min(memoryMb, kMostMemoryMb) * 1e6 / (listener ? 2 : 1));
+}
+
 Endpoint parseEndpoint(const std::string& text) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string::npos || colon == 0) bad("not an address and port:", text);
@@ -208,6 +216,9 @@
     config.seed = toSeed(file.at("seed").get<std::string>());
     if (file.contains("limits")) {
       config.sockets = file["limits"].value("sockets", config.sockets);
+      config.memoryMb = file["limits"].value("memory_mb", config.memoryMb);
+      if (!(config.memoryMb > 0))
+        bad("limits.memory_mb has to be over 0:", file["limits"]["memory_mb"].dump());
       config.cores = file["limits"].value("cores", config.cores);
       if (!(config.cores > 0)) bad("limits.cores has to be over 0:", file["limits"]["cores"].dump());
     }
--- a/src/sidecar/config.h
+++ b/src/sidecar/config.h
@@ -45,6 +45,7 @@
   std::string tempFolder;  // that outlives the process while it is replaced; empty: none
   std::uint64_t seed = 0;
   double cores = 1;                   // of processor that the process may use
+  double memoryMb = 192;              // that the process may use
   std::size_t sockets = 1024;         // file descriptors that the process may hold
   std::optional<InstanceList> known;  // none: there was none, or it could not be read
   orchiddrum::Site site;
@@ -53,6 +54,8 @@
   // Descriptors that connections of clients and to upstreams may hold. The rest is the process's own, and the
   // console's.
   double poolSockets() const;
+  // Bytes that bodies in transit may hold together.
+  std::size_t relayBytes() const;
 };
 
 // All of these throw orchiddrum::FormatError with a message for one line of the log.
--- a/src/sidecar/framing.h
+++ b/src/sidecar/framing.h
@@ -12,8 +12,10 @@
 
 namespace ivypost {
 
+// Bodies up to this are read whole before they go on; larger ones are relayed in pieces.
+constexpr std::size_t kMaxWhole = 64UL * 1024;
 // The protocol's limit on bodies, and ours on what stands ahead of them; of requests and answers alike.
-constexpr std::size_t kMaxBody = 64UL * 1024;
+constexpr std::size_t kMaxBody = 32UL * 1024 * 1024;
 constexpr std::uint32_t kMaxHeader = 16 * 1024;
 
 inline std::string_view view(boost::beast::string_view text) {
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -2,6 +2,8 @@
 //
 // Starts the sidecar, reads its configuration and the operator's file anew at SIGHUP, and ends it at SIGTERM
 // or SIGINT.
+#include <malloc.h>
+
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -18,6 +20,9 @@
 
 namespace {
 
+// Blocks of this size and more go back to the system when they are freed.
+constexpr int kLargeBlock = 128 * 1024;
+
 ivypost::op::File readFile(const std::string& path) {
   return path.empty() ? ivypost::op::File{} : ivypost::op::read(path);
 }
@@ -37,6 +42,10 @@
 // NOLINTNEXTLINE(bugprone-exception-escape): CLI11's own set-up may throw, and then ends the program.
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
+  // Large bodies come and go. Left to itself the C library keeps what they held for the next ones, in pieces
+  // that fit none of them, and the process grows over its limit.
+  mallopt(M_MMAP_THRESHOLD, kLargeBlock);
+  mallopt(M_TRIM_THRESHOLD, kLargeBlock);
   CLI::App app("A sidecar that passes an application's requests to booking nodes. Configured by GW_CONFIG.");
   std::string path;
   bool example = false;
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -13,7 +13,10 @@
 
 #include "admission/peer.h"
 #include "framing.h"
+#include "relay/pace.h"
+#include "relay/pieces_body.h"
 #include "request_form.h"
+#include "stream_writer.h"
 
 namespace ivypost {
 namespace {
@@ -43,6 +46,16 @@
 constexpr std::size_t kMaxDiscard = 64UL * 1024;
 // A buffer that was read empty is kept up to this size for the connection's next request.
 constexpr std::size_t kKeptBuffer = 4096;
+// A larger body is held whole up to this, as far as the budget goes: so it can be sent again, and a client
+// that writes slowly holds up no upstream.
+constexpr std::size_t kMaxHeld = 2048UL * 1024;
+constexpr std::size_t kHeldStep = 128UL * 1024;
+// How much longer than its pace so far lets expect the rest of a body may take, before its request is given
+// up.
+constexpr Micros kUploadSlack = 2;
+constexpr Micros kUploadSpare = 3'000'000;
+// A client that takes nothing more of an answer for so long has stopped.
+constexpr milliseconds kClientTakes{10'000};
 // What a client may send ahead while its request waits; beyond it a close is noticed late.
 constexpr std::size_t kMaxAhead = 16UL * 1024;
 // The kernel tells times by its own tick, of 10 ms at the most; less may be none.
@@ -77,7 +90,7 @@
   return false;
 }
 
-std::optional<std::string_view> header(const Message& message, std::string_view name) {
+std::optional<std::string_view> header(const RequestHead& message, std::string_view name) {
   const auto found = message.find(beast::string_view(name.data(), name.size()));
   if (found == message.end()) return std::nullopt;
   return std::string_view(found->value().data(), found->value().size());
@@ -105,7 +118,11 @@
 class Server::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(Server& server, tcp::socket socket, admission::Door::Place place)
-      : server_(server), socket_(std::move(socket)), deadline_(server.deadlines_), place_(place) {}
+      : server_(server),
+        socket_(std::move(socket)),
+        deadline_(server.deadlines_),
+        held_(server.budget_),
+        place_(place) {}
 
   void start() {
     error_code ignored;
@@ -139,12 +156,16 @@
   // Answers what the client has sent, and goes on or hangs up.
   void write(Answer answer) {
     state_ = State::Writing;
+    // What is left of a body is not waited for; the client hears at once.
+    if (uploading_) keepAlive_ = false;
+    uploading_ = false;
     last_ = !keepAlive_ || !server_.effects_.keeps || !server_.door_.keeps(place_);
     wrong_ = answer.status / 100 == 4;
     const auto reason = http::obsolete_reason(static_cast<http::status>(answer.status));
     head_ = "HTTP/1.1 " + std::to_string(answer.status) + " " + std::string(view(reason)) +
             "\r\nContent-Type: " + answer.contentType;
     if (answer.retryAfter > 0) head_ += "\r\nRetry-After: " + seconds(answer.retryAfter);
+    if (answer.stream) return writeStream(std::move(answer));
     if (last_) head_ += "\r\nConnection: close";
     head_ += "\r\nContent-Length: " + std::to_string(answer.body.size()) + "\r\n\r\n";
     body_ = std::move(answer.body);
@@ -176,6 +197,8 @@
     deadline_.cancel();
     error_code ignored;
     socket_.close(ignored);
+    if (upload_) upload_->pipe.fail();
+    if (const auto stream = std::exchange(stream_, nullptr)) stream->abandon();
     const auto self = shared_from_this();  // the server's may have been the last
     server_.sessions_.erase(place_->id);
     server_.door_.leave(place_);
@@ -200,7 +223,7 @@
     watching_ = true;
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code) {
       self->watching_ = false;
-      if (self->state_ != State::Idle && self->state_ != State::Waiting) return;
+      if (self->uploading_ || (self->state_ != State::Idle && self->state_ != State::Waiting)) return;
       const error_code error = self->readAhead();
       if (error == asio::error::would_block) return self->watch();
       if (error) return self->close();
@@ -217,10 +240,70 @@
     return error;
   }
 
+  // ---- An answer in pieces
+
+  void writeStream(Answer answer) {
+    stream_ = std::move(answer.stream);
+    const bool chunked = !answer.length && version_ >= 11;
+    if (!answer.length && !chunked) last_ = true;
+    if (last_) head_ += "\r\nConnection: close";
+    if (answer.length) {
+      head_ += "\r\nContent-Length: " + std::to_string(*answer.length);
+    } else if (chunked) {
+      head_ += "\r\nTransfer-Encoding: chunked";
+    }
+    head_ += "\r\n\r\n";
+    writer_.begin(std::move(head_), chunked);
+    stream_->onData = [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        asio::post(self->server_.io_, [self] {
+          if (self->stream_ && !self->waitsToWrite_) self->pump();
+        });
+      }
+    };
+    // Not from within the caller, who goes on with what it has read of the answer.
+    asio::post(server_.io_, [self = shared_from_this()] {
+      if (self->stream_ && !self->waitsToWrite_) self->pump();
+    });
+  }
+
+  void pump() {
+    switch (writer_.step(socket_, *stream_)) {
+      case StreamWriter::Step::Blocked:
+        return pumpLater();
+      case StreamWriter::Step::Starved:
+        return deadline_.cancel();  // the upstream's side has its own
+      case StreamWriter::Step::Failed: {
+        // The client must be able to tell, also where the end of the connection ends the answer.
+        error_code ignored;
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+        return close();
+      }
+      case StreamWriter::Step::Broken:
+        return close();
+      case StreamWriter::Step::Done:
+        stream_.reset();
+        return onWritten();
+    }
+  }
+
+  void pumpLater() {
+    waitsToWrite_ = true;
+    limit(Clock::now() + kClientTakes);
+    socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code error) {
+      self->waitsToWrite_ = false;
+      if (!self->stream_ || self->state_ != State::Writing) return;
+      if (error) return self->close();
+      self->pump();
+    });
+  }
+
   void onWritten() {
     deadline_.cancel();
     parser_.reset();
     body_ = {};
+    upload_.reset();
+    held_.release();
     if (last_) return hangUp();
     if (buffer_.size() == 0 && buffer_.capacity() > kKeptBuffer) buffer_.shrink_to_fit();
     state_ = State::Idle;
@@ -275,11 +358,13 @@
       return readHead(false);
     }
     if (error) return onRead(error);
+    version_ = parser_->get().version();
     if (const auto flaw = flawOf(parser_->get())) {
       keepAlive_ = false;
       return write(server_.plain(flaw->status, flaw->why));
     }
     if (parser_->is_done()) return onRead(error);
+    if (parser_->content_length().value_or(0) > kMaxBody) return onRead(http::error::body_limit);
     // A body that has come along costs less to read than a new connection would.
     if (parser_->content_length_remaining().value_or(kMaxBody) > buffer_.size()) {
       if (auto refused = server_.refusesFromHead(parser_->get(), unreadFor())) {
@@ -306,15 +391,129 @@
     // A trailer's fields are no headers (RFC 9110, 6.5.1), but the parser adds them there.
     if (parser_->chunked()) headers_ = parser_->get().base();
     parser_->eager(true);
+    pace_.emplace(now());
+    pace_->came(buffer_.size(), now());
+    takeBody();
+  }
+
+  // What has come of the body.
+  void takeBody() {
     error_code error;
     while (!error && !parser_->is_done() && buffer_.size() > 0)
       buffer_.consume(parser_->put(buffer_.data(), error));
-    if (error != http::error::need_more && (error || parser_->is_done())) return onBody(error);
-    http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code failed, std::size_t) {
-      if (self->state_ == State::Reading) self->onBody(failed);
+    if (error == http::error::need_more) error = {};
+    // A chunk's head without end.
+    if (!error && !parser_->is_done() && buffer_.size() > kMaxHeader)
+      error = http::error::bad_chunk_extension;
+    if (uploading_) return onPiece(error);
+    if (error || parser_->is_done()) return onBody(error);
+    if (parser_->get().body().size() > kMaxWhole && !holds(parser_->get().body().size()))
+      return beginUpload();
+    limit(Clock::time_point(std::chrono::microseconds(pace_->due())));
+    readMore(kReadOfStream);
+  }
+
+  void readMore(std::size_t most) {
+    if (std::exchange(readingBody_, true)) return;
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this(), most](error_code failed) {
+      self->readingBody_ = false;
+      if (self->state_ != State::Reading && !self->uploading_) return;
+      error_code error = failed;
+      std::size_t size = 0;
+      if (!error) size = self->socket_.receive(self->buffer_.prepare(most), 0, error);
+      self->buffer_.commit(size);
+      if (error == asio::error::would_block) return self->readMore(most);
+      if (error) return self->close();
+      self->pace_->came(size, now());
+      self->takeBody();
     });
   }
 
+  // Whether a body of more than 64 KiB may go on being held whole.
+  bool holds(std::size_t size) {
+    const std::uint64_t length = parser_->content_length().value_or(0);
+    if (std::max<std::uint64_t>(size, length) > kMaxHeld) return false;
+    // A stated length is taken at once, so that the string need not grow: it would hold twice as much.
+    const std::size_t wanted = std::max<std::size_t>(size, length);
+    while (held_.bytes() < wanted) {
+      if (!held_.grow(kHeldStep)) return false;
+    }
+    parser_->get().body().reserve(wanted);
+    return true;
+  }
+
+  // ---- A request's body in pieces
+
+  // Hands the request on while its body is still coming in.
+  void beginUpload() {
+    auto& read = parser_->get();
+    // The parser goes on with its own, and a later request must not get these.
+    Message message(headers_ ? std::move(*std::exchange(headers_, std::nullopt)) : read.base());
+    keepAlive_ = parser_->keep_alive();
+    auto upload = std::make_shared<Upload>(server_.budget_);
+    if (const auto length = parser_->content_length()) upload->length = *length;
+    auto checked = server_.check(std::move(message), milliseconds(0));
+    if (auto* answer = std::get_if<Answer>(&checked)) {
+      keepAlive_ = false;
+      return write(std::move(*answer));
+    }
+    auto& request = std::get<ClientRequest>(checked);
+    upload_ = upload;
+    uploading_ = true;
+    expiresIn_ = request.expiresIn;
+    const std::uint64_t left = parser_->content_length_remaining().value_or(kMaxHeld);
+    // The request's time counts from its last byte, which is not known yet.
+    request.expiresIn += kUploadSlack * pace_->expected(left) + kUploadSpare;
+    request.deadline = Clock::now() + std::chrono::microseconds(request.expiresIn);
+    upload->deadline = request.deadline;
+    upload->pipe.onRoom = [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) asio::post(self->server_.io_, [self] { self->roomMade(); });
+    };
+    upload->pipe.push(read.body());
+    read.body() = {};
+    held_.release();
+    request.upload = std::move(upload);
+    take(std::move(request));
+    if (uploading_) nextOfUpload();
+  }
+
+  void onPiece(error_code error) {
+    if (error) {
+      // The attempt ends without its last byte, so it never runs.
+      const auto self = shared_from_this();
+      upload_->pipe.fail();
+      if (!server_.endRequest(*this)) return close();
+      write(server_.flawOfBody(error));
+      return server_.over(request_);
+    }
+    upload_->pipe.push(parser_->get().body());
+    parser_->get().body().clear();
+    if (!parser_->is_done()) return nextOfUpload();
+    uploading_ = false;
+    const auto deadline = Clock::now() + std::chrono::microseconds(expiresIn_);
+    upload_->deadline = deadline;
+    guard(deadline);
+    watch();
+    upload_->pipe.end();
+  }
+
+  void nextOfUpload() {
+    const std::size_t room = upload_->pipe.room();
+    if (room == 0) {
+      // Held back by us: the client's pace does not count meanwhile.
+      deadline_.cancel();
+      if (!heldBackSince_) heldBackSince_ = now();
+      return;
+    }
+    if (heldBackSince_) pace_->heldBack(now() - *std::exchange(heldBackSince_, std::nullopt));
+    limit(Clock::time_point(std::chrono::microseconds(pace_->due())));
+    readMore(std::min(room, kReadOfStream));
+  }
+
+  void roomMade() {
+    if (uploading_ && heldBackSince_) nextOfUpload();
+  }
+
   void onBody(error_code error) {
     if (headers_) parser_->get().base() = std::move(*std::exchange(headers_, std::nullopt));
     onRead(error);
@@ -329,34 +528,45 @@
     deadline_.cancel();
     if (error) {
       keepAlive_ = false;
-      if (error == http::error::body_limit) return write(server_.plain(413, "body over 64 KiB"));
+      if (error == http::error::body_limit) return write(server_.flawOfBody(error));
       if (error == http::error::header_limit) return write(server_.plain(431, "header over 16 KiB"));
       if (error == http::error::end_of_stream || error == http::error::partial_message) return close();
       if (error == http::error::bad_version)
         return write(server_.plain(statusOfBadStart(received()), "malformed HTTP: " + error.message()));
       if (error.category() == make_error_code(http::error::bad_method).category())
-        return write(server_.plain(400, "malformed HTTP: " + error.message()));
+        return write(server_.flawOfBody(error));
       return close();
     }
     keepAlive_ = parser_->keep_alive();
-    auto checked = server_.check(parser_->release(), unreadFor());
+    auto whole = parser_->release();
+    auto checked = server_.check(Message(std::move(whole.base()), std::move(whole.body())), unreadFor());
     if (auto* answer = std::get_if<Answer>(&checked)) return write(std::move(*answer));
-    auto& request = std::get<ClientRequest>(checked);
+    take(std::move(std::get<ClientRequest>(checked)));
+  }
+
+  // An answer is owed from here on.
+  void take(ClientRequest request) {
     state_ = State::Waiting;
     request_ = request.id;
     arrivedAt_ = request.arrived;
     trace_ = request.trace;
     server_.traces_.open(trace_, now());
     server_.open_.emplace(request_, shared_from_this());
-    watch();
-    // Guards the last answer against everything else: a late timer, a full core, a module that is wrong.
-    deadline_.set(request.deadline + kBackstop, [this] {
+    if (!uploading_) {
+      watch();
+      guard(request.deadline);
+    }
+    server_.gate_.offer(std::move(request), !server_.door_.mayWork());
+  }
+
+  // Guards the last answer against everything else: a late timer, a full core, a module that is wrong.
+  void guard(Clock::time_point deadline) {
+    deadline_.set(deadline + kBackstop, [this] {
       const auto self = shared_from_this();
       if (state_ != State::Waiting || !server_.endRequest(*this)) return;
       write(server_.plain(504, "no answer in time"));
       server_.over(request_);
     });
-    server_.gate_.offer(std::move(request), !server_.door_.mayWork());
   }
 
   // How long a request that has been read now had stood unread: in the accept queue, or while the loop was
@@ -393,7 +603,17 @@
   tcp::socket socket_;
   Deadlines::Deadline deadline_;
   beast::flat_buffer buffer_;
-  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<http::request_parser<relay::PiecesBody>> parser_;
+  std::optional<relay::Pace> pace_;      // of the body
+  relay::Budget::Share held_;            // of a large body that is read whole
+  std::shared_ptr<Upload> upload_;       // of one that is not
+  std::shared_ptr<relay::Pipe> stream_;  // of an answer that is not
+  Micros expiresIn_ = 0;                 // of a request whose body streams, from its last byte
+  std::optional<Micros> heldBackSince_;  // the client is not read, for want of room
+  unsigned version_ = 11;                // of the request's HTTP
+  bool uploading_ = false, readingBody_ = false;
+  StreamWriter writer_;                 // of an answer that streams
+  bool waitsToWrite_ = false;           // for the client to take more of it
   std::optional<RequestHead> headers_;  // as they came, while a chunked body is read
   std::string head_, body_;             // of the answer
   bool last_ = false, wrong_ = false;   // the answer ends the connection; it says that the client erred
@@ -406,9 +626,11 @@
   bool watching_ = false;
 };
 
-Server::Server(asio::io_context& io, const Config& config, const op::File& file, Callbacks callbacks)
+Server::Server(asio::io_context& io, const Config& config, const op::File& file, relay::Budget& budget,
+               Callbacks callbacks)
     : io_(io),
       config_(config),
+      budget_(budget),
       callbacks_(std::move(callbacks)),
       acceptor_(io),
       timer_(io),
@@ -499,7 +721,10 @@
 
 void Server::answer(RequestId id, Answer answer) {
   const auto found = open_.find(id);
-  if (found == open_.end()) return;
+  if (found == open_.end()) {
+    if (answer.stream) answer.stream->abandon();
+    return;
+  }
   const auto session = found->second;
   endRequest(*session);
   if (gate_.queues() && answer.status == 200) gate_.served(now() - microsOf(session->arrivedAt()));
@@ -519,6 +744,11 @@
   return answer;
 }
 
+Answer Server::flawOfBody(const error_code& error) const {
+  if (error == http::error::body_limit) return plain(413, "body over 32 MiB");
+  return plain(400, "malformed HTTP: " + error.message());
+}
+
 Answer Server::refusal(std::string text) const {
   Answer answer = plain(503, std::move(text));
   answer.retryAfter = gate_.comeAgain();
@@ -540,7 +770,7 @@
   gate_.adopt(file);
 }
 
-std::optional<Answer> Server::refusesFromHead(const Message& head, milliseconds unread) const {
+std::optional<Answer> Server::refusesFromHead(const RequestHead& head, milliseconds unread) const {
   if (!gate_.refusesFromHead()) return std::nullopt;
   const auto qos = header(head, "X-Qos");
   const auto named = qos ? config_.site.classes.find(*qos) : config_.site.classes.end();
--- a/src/sidecar/server.h
+++ b/src/sidecar/server.h
@@ -25,6 +25,7 @@
 #include "deadlines.h"
 #include "gate.h"
 #include "lifecycle/lifecycle.h"
+#include "request_form.h"
 
 namespace ivypost {
 
@@ -33,6 +34,9 @@
   std::string body;
   std::string contentType = "text/plain";
   Micros retryAfter = 0;  // 0: no advice
+  // The body if it comes in pieces, in place of `body`.
+  std::shared_ptr<relay::Pipe> stream;
+  std::optional<std::uint64_t> length;  // of it; none: unknown
 };
 
 class Server {
@@ -49,7 +53,9 @@
 
   // Listens, and accepts when follow() says so. Throws boost::system::system_error when it cannot listen, and
   // what Gate throws.
-  Server(boost::asio::io_context& io, const Config& config, const op::File& file, Callbacks callbacks);
+  // `budget` is for requests whose bodies are large.
+  Server(boost::asio::io_context& io, const Config& config, const op::File& file, relay::Budget& budget,
+         Callbacks callbacks);
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
   ~Server();
@@ -88,14 +94,16 @@
   // `unread`: since its last byte came.
   std::variant<ClientRequest, Answer> check(Message message, std::chrono::milliseconds unread);
   Answer plain(unsigned status, std::string text) const;
+  Answer flawOfBody(const boost::system::error_code& error) const;
   Answer refusal(std::string text) const;
   // From the head alone: the refusal of a request whose body need not be read.
-  std::optional<Answer> refusesFromHead(const Message& head, std::chrono::milliseconds unread) const;
+  std::optional<Answer> refusesFromHead(const RequestHead& head, std::chrono::milliseconds unread) const;
   void over(orchiddrum::RequestId id);
   bool full() const;
 
   boost::asio::io_context& io_;
   const Config& config_;
+  relay::Budget& budget_;
   Callbacks callbacks_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer timer_, tendTimer_;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -45,9 +45,11 @@
       unixToSteady_(now() - unixNow()),
       balancer_(config_.site.settings, config_.seed, now()),
       timer_(io),
+      budget_(config_.relayBytes()),
       upstreams_(
-          io, config_,
+          io, config_, budget_,
           {[this](AttemptId id) { onWritten(id); }, [this](AttemptEnd end) { onEnded(std::move(end)); },
+           [this](StreamBegin begin) { onBegan(std::move(begin)); },
            [this](const ProbeEnd& end) { onProbed(end); }}),
       discovery_(io, config_,
                  {[this](const InstanceList& list) {
@@ -57,7 +59,7 @@
                   [this] {
                     handle(MembershipUpdate{MembershipUpdate::Kind::Failed, {}});
                   }}),
-      server_(io, config_, file,
+      server_(io, config_, file, budget_,
               {[this](ClientRequest client) { onTaken(std::move(client)); },
                [this](RequestId id) { onOver(id); }, [this] { return status(); },
                [this] {
@@ -152,6 +154,8 @@
   event.outcome = end.outcome;
   event.lag = duration_cast<microseconds>(end.lag).count();
   event.report = end.report;
+  event.transfer = duration_cast<microseconds>(end.transfer).count();
+  event.spent = end.spent;
   if (end.outcome == Outcome::Ok && !request.over) {
     Answer answer;
     answer.status = 200;
@@ -164,6 +168,19 @@
   forget(end.id.request);
 }
 
+// The answer is the client's from here on: whatever becomes of the rest, there is no other.
+void Sidecar::onBegan(StreamBegin begin) {
+  const auto found = requests_.find(begin.id.request);
+  if (found == requests_.end() || found->second.over) return begin.body->abandon();
+  handle(orchiddrum::AttemptStarted{begin.id.request, begin.id.number});
+  Answer answer;
+  answer.status = 200;
+  if (!begin.contentType.empty()) answer.contentType = std::move(begin.contentType);
+  answer.length = begin.length;
+  answer.stream = std::move(begin.body);
+  finish(begin.id.request, std::move(answer));
+}
+
 void Sidecar::onProbed(const ProbeEnd& end) {
   orchiddrum::ProbeResult event;
   event.upstream = end.upstream;
@@ -376,6 +393,7 @@
   order.id = {send.request, static_cast<std::uint32_t>(request.attempts.size())};
   order.upstream = send.upstream;
   order.message = request.client.message;
+  order.upload = request.client.upload;
   order.deadline = request.client.deadline;
   if (send.timeout > 0) order.deadline = std::min(order.deadline, Clock::now() + microseconds(send.timeout));
   order.writeBy = order.deadline;
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -78,6 +78,7 @@
   void onOver(orchiddrum::RequestId id);
   void onWritten(AttemptId id);
   void onEnded(AttemptEnd end);
+  void onBegan(StreamBegin begin);
   void onProbed(const ProbeEnd& end);
   void onList(const InstanceList& list, orchiddrum::MembershipUpdate::Kind kind);
   void onTimer();
@@ -125,6 +126,7 @@
   std::unordered_map<std::string, UpstreamId> ids_;
   std::vector<Known> known_;                // by number
   std::vector<UpstreamId> spare_;           // free numbers
+  relay::Budget budget_;                    // of bodies in transit
   std::map<Endpoint, UpstreamId> holders_;  // of each address, the upstream that was listed there last
   Upstreams upstreams_;
   Discovery discovery_;
--- /dev/null
+++ b/src/sidecar/stream_writer.h
@@ -0,0 +1,94 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// Writes a body from a pipe to a connection behind a head, with a stated length or in chunks (RFC 9112, 7.1),
+// as fast as the kernel takes it and the pipe has it. Of requests and answers alike.
+#ifndef IVYPOST_STREAM_WRITER_H_
+#define IVYPOST_STREAM_WRITER_H_
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <charconv>
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "relay/pipe.h"
+
+namespace ivypost {
+
+// Read of a body at once while it streams.
+constexpr std::size_t kReadOfStream = 16UL * 1024;
+
+class StreamWriter {
+ public:
+  enum class Step {
+    Blocked,  // the socket takes no more now, or others are to have their turn: again when it can be written
+    Starved,  // the pipe is empty: again when it has more
+    Failed,   // the rest will not come; all that came before has been written
+    Broken,   // the connection is
+    Done,     // all of it has been written
+  };
+
+  void begin(std::string head, bool chunked) {
+    text_ = std::move(head);
+    at_ = 0;
+    chunked_ = chunked;
+    lastChunk_ = false;
+  }
+
+  // The socket must not block.
+  Step step(boost::asio::ip::tcp::socket& socket, relay::Pipe& pipe) {
+    std::size_t inTurn = 0;
+    for (;;) {
+      if (at_ == text_.size()) {
+        text_.clear();
+        at_ = 0;
+        if (!next(pipe)) {
+          if (pipe.failed()) return Step::Failed;
+          return pipe.done() ? Step::Done : Step::Starved;
+        }
+      }
+      boost::system::error_code error;
+      const std::size_t sent =
+          socket.write_some(boost::asio::buffer(text_.data() + at_, text_.size() - at_), error);
+      if (error && error != boost::asio::error::would_block) return Step::Broken;
+      at_ += sent;
+      inTurn += sent;
+      if (error || inTurn > kPerTurn) return Step::Blocked;
+    }
+  }
+
+ private:
+  // Copied out of the pipe at once, and written in one turn of the loop at the most.
+  static constexpr std::size_t kPiece = 16UL * 1024;
+  static constexpr std::size_t kPerTurn = 256UL * 1024;
+
+  bool next(relay::Pipe& pipe) {
+    const std::string_view piece = pipe.front().substr(0, kPiece);
+    if (piece.empty()) {
+      if (!chunked_ || !pipe.done() || std::exchange(lastChunk_, true)) return false;
+      text_ = "0\r\n\r\n";
+      return true;
+    }
+    if (chunked_) {
+      std::array<char, 16> size{};
+      auto* const end = std::to_chars(size.data(), size.data() + size.size(), piece.size(), 16).ptr;
+      text_.append(size.data(), end).append("\r\n").append(piece).append("\r\n");
+    } else {
+      text_.append(piece);
+    }
+    pipe.pop(piece.size());
+    return true;
+  }
+
+  std::string text_;
+  std::size_t at_ = 0;  // what stands before has been written
+  bool chunked_ = false, lastChunk_ = false;
+};
+
+}  // namespace ivypost
+
+#endif  // IVYPOST_STREAM_WRITER_H_
--- a/src/sidecar/upstreams.h
+++ b/src/sidecar/upstreams.h
@@ -35,18 +35,30 @@
   AttemptId id;
   UpstreamId upstream = 0;
   std::shared_ptr<const Message> message;
-  Clock::time_point deadline;  // not waited for any longer
-  Clock::time_point writeBy;   // not sent any later: an upstream would no longer know it for a repeat
+  std::shared_ptr<Upload> upload;  // of the body; none: it stands in the message
+  Clock::time_point deadline;      // not waited for any longer
+  Clock::time_point writeBy;       // not sent any later: an upstream would no longer know it for a repeat
 };
 
 struct AttemptEnd {
   AttemptId id;
   orchiddrum::Outcome outcome = orchiddrum::Outcome::Ok;
   Clock::duration lag{};
-  std::string body, contentType;  // of an Ok
+  std::string body, contentType;  // of an Ok that did not begin to stream
+  bool streamed = false;          // its answer was passed on by `began`
+  bool spent = false;             // of the request's body, some has gone out and is no longer at hand
+  Clock::duration transfer{};     // of the lag, the time in which bodies went through in pieces
   std::optional<orchiddrum::LoadReport> report;
 };
 
+// An answer of 200 that is too large to be read whole.
+struct StreamBegin {
+  AttemptId id;
+  std::string contentType;
+  std::optional<std::uint64_t> length;  // none: it comes in chunks, or ends with its connection
+  std::shared_ptr<relay::Pipe> body;
+};
+
 struct ProbeEnd {
   UpstreamId upstream = 0;
   bool ok = false;
@@ -60,10 +72,13 @@
     // Its last byte has gone out; the only one that may be called from within send().
     std::function<void(AttemptId)> written;
     std::function<void(AttemptEnd)> ended;
+    // Comes before `ended`; the body that it hands out fails if the rest of the answer does not come.
+    std::function<void(StreamBegin)> began;
     std::function<void(ProbeEnd)> probed;
   };
 
-  Upstreams(boost::asio::io_context& io, const Config& config, Callbacks callbacks);
+  // `budget` is for answers that stream.
+  Upstreams(boost::asio::io_context& io, const Config& config, relay::Budget& budget, Callbacks callbacks);
   Upstreams(const Upstreams&) = delete;
   Upstreams& operator=(const Upstreams&) = delete;
   ~Upstreams();
@@ -97,6 +112,7 @@
 
   boost::asio::io_context& io_;
   const Config& config_;
+  relay::Budget& budget_;
   Callbacks callbacks_;
   const std::shared_ptr<Deadlines> deadlines_;  // of the connections
   std::size_t maxConnections_;
