--- a/src/console/console_io.cpp
+++ b/src/console/console_io.cpp
@@ -52,9 +52,11 @@
 
   bool answered() const { return answered_; }
 
-  // Its owner has let it go, or is gone itself.
+  // Its owner is gone: nobody is called back any more.
+  void orphan() noexcept { owner_ = nullptr; }
+
   void close() {
-    owner_ = nullptr;
+    orphan();
     timer_.cancel();
     error_code ignored;
     socket_.close(ignored);
@@ -152,7 +154,7 @@
 }
 
 Console::~Console() {
-  for (const auto& session : sessions_) session->close();
+  for (const auto& session : sessions_) session->orphan();
 }
 
 void Console::accept() {
--- a/src/relay/budget.h
+++ b/src/relay/budget.h
@@ -32,10 +32,8 @@
   class Share {
    public:
     explicit Share(const Budget& budget) : account_(budget.account_) {}
-    Share(Share&& other) noexcept : account_(other.account_), bytes_(std::exchange(other.bytes_, 0)) {}
     Share(const Share&) = delete;
     Share& operator=(const Share&) = delete;
-    Share& operator=(Share&&) = delete;
     ~Share() { release(); }
 
     // Grows by `bytes`, or not at all.
--- a/src/sidecar/config.cpp
+++ b/src/sidecar/config.cpp
@@ -146,7 +146,7 @@
   if (text == nullptr || *text == '\0') return std::nullopt;
   const std::string_view digits(text);
   const auto wrong = [&](const char* why) {
-    remarks.push_back("GW_FD " + word(std::string(digits)) + " " + why +
+    remarks.push_back(std::string("GW_FD ") + word(std::string(digits)) + " " + why +
                       "; a socket of our own is listened on");
     return std::nullopt;
   };
