A repeat's body has to be out within its window, however slowly it is taken

Reason: read again, a keyed repeat with a body that the kernel could not take at once was bounded by the deadline and by how fast its upstream reads, not by writeBy; its last byte, with which an upstream begins, could come after the window in which repeats are dropped. Change: both writes end at writeBy too, as never sent.

--- a/src/sidecar/upstreams.cpp
+++ b/src/sidecar/upstreams.cpp
@@ -178,7 +178,9 @@
     const bool large = body.size() > kSendBuffer;
     if (sent == size) return onWritten();
     if (body.size() > kMaxWhole) return writeRest(body, sent);
-    limit(large ? std::min(job.deadline, now + pool_.connectTimeout_) : job.deadline);
+    // A repeat's last byte has to go out within the window too.
+    const auto until = std::min(job.deadline, job.writeBy);
+    limit(large ? std::min(until, now + pool_.connectTimeout_) : until);
     text_.append(body).erase(0, sent);
     asio::async_write(socket_, asio::buffer(text_),
                       [self = shared_from_this()](error_code failed, std::size_t) {
@@ -194,7 +196,7 @@
     const std::size_t ofHead = std::min(sent, text_.size());
     text_.erase(0, ofHead);
     rest_ = body.substr(sent - ofHead);
-    limit(std::min(job_->deadline, Clock::now() + kUpstreamTakes));
+    limit(std::min({job_->deadline, job_->writeBy, Clock::now() + kUpstreamTakes}));
     const std::array<asio::const_buffer, 2> parts = {asio::buffer(text_),
                                                      asio::buffer(rest_.data(), rest_.size())};
     socket_.async_write_some(parts,
