Without a console a list costs what it did; the console's descriptors follow its bound

Reason: each entry of a list was copied twice more for exclusions that nobody can make, and 25 descriptors stood in config.cpp beside Console::kMost of 24, from which they follow. Change: the copies only where they are of use, the figure derived.

--- a/src/sidecar/config.cpp
+++ b/src/sidecar/config.cpp
@@ -15,6 +15,8 @@
 #include <set>
 #include <string_view>
 
+#include "console/console_io.h"
+
 namespace ivypost {
 namespace {
 
@@ -26,7 +28,7 @@
 // Descriptors of the process itself: its log, the loop's own, signals, what it listens on, discovery, files.
 constexpr double kOwnSockets = 16;
 // And of the operators' console, where there is one.
-constexpr double kConsoleSockets = 25;
+constexpr double kConsoleSockets = console::Console::kMost + 1;
 constexpr double kPoolShare = 0.9;
 // Part of the memory for bodies in transit. Strings that grow hold up to twice what is in them, and what each
 // pipe holds at the least, the program and its tables need the rest.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -199,7 +199,9 @@
     for (Known& known : known_) known.listed = false;  // whoever is missing has gone
   }
   for (const Instance& told : list.instances) {
-    const Instance instance = laidOver(told);
+    Instance laid;
+    if (!rotation_.empty()) laid = laidOver(told);
+    const Instance& instance = rotation_.empty() ? told : laid;
     if (instance.state == orchiddrum::UpstreamState::Gone && ids_.count(instance.id) == 0) continue;
     orchiddrum::UpstreamEntry entry;
     entry.upstream = intern(instance.id);
@@ -215,7 +217,7 @@
     if (known.address != instance.address) leaveAddress(entry.upstream);
     known.address = instance.address;
     known.startedAtMs = instance.startedAtMs;
-    known.told = told;
+    if (config_.console) known.told = told;  // only operators' calls need it
     known.listed = instance.state != orchiddrum::UpstreamState::Gone;
     if (known.listed && !takesItsAddress(entry.upstream, update)) {
       known.listed = false;
@@ -270,7 +272,6 @@
 // An entry as the module hears of it: out by hand is a drain, back by hand a start.
 Instance Sidecar::laidOver(const Instance& told) const {
   Instance laid = told;
-  if (rotation_.empty()) return laid;
   if (laid.state == orchiddrum::UpstreamState::Serving && rotation_.isOut(laid.id))
     laid.state = orchiddrum::UpstreamState::Draining;
   laid.startedAtMs = rotation_.startedAtMs(laid.id, laid.startedAtMs);
