--- a/tests/transfer_test.cpp
+++ b/tests/transfer_test.cpp
@@ -371,6 +371,20 @@
   EXPECT_TRUE(wires.empty());
 }
 
+// A bound on what stands between two pieces: neither side may fill our memory with it.
+TEST_F(TransferTest, AChunksHeadWithoutEndIsRefused) {
+  transfer();
+  const Wire client = connect();
+  client.send(head("Transfer-Encoding: chunked\r\n") + "1;" + std::string(200'000, 'x'));
+  ASSERT_TRUE(wait([&] { return !client.got().empty() || client.closed(); }));
+  EXPECT_EQ(client.got().substr(0, 12), "HTTP/1.1 400");
+  EXPECT_TRUE(wires.empty());
+  const Wire other = asked();
+  wires[0].send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;" + std::string(200'000, 'x'));
+  ASSERT_TRUE(wait([&] { return !other.got().empty(); }));
+  EXPECT_EQ(other.got().substr(0, 12), "HTTP/1.1 502");
+}
+
 // Its last byte never goes out, so it has never run.
 TEST_F(TransferTest, ABodyWithoutEndIsCutAndItsAttemptNeverRuns) {
   transfer();
