Module: the start of an attempt that was never sent is misuse, as its outcome is

Reason: since a streamed answer leaves the count, on(AttemptStarted) reaches for the attempt by its number, which nothing had checked; the wire could name any. Change: it throws as the interface says, one comment line gave way.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -934,8 +934,7 @@
     }
   }
 
-  // Any outcome leaves the count; so does an answer that begins to stream, since the rest is its client's
-  // pace.
+  // Any outcome leaves the count; so does an answer that begins to stream: the rest is its client's pace.
   void leaveCount(Attempt& attempt) {
     if (attempt.counted) --out_, --upstreams_[attempt.upstream].inFlight;
     attempt.counted = false;
@@ -999,6 +998,7 @@
   void on(const AttemptStarted& event) {
     const auto found = requests_.find(event.request);
     if (found == requests_.end() || found->second.over) return;
+    if (event.attempt >= found->second.attempts.size()) throw std::invalid_argument("never sent");
     found->second.streaming = true;
     leaveCount(found->second.attempts[event.attempt]);
     cancelAllBut(event.attempt, event.request, found->second);
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -1376,6 +1376,14 @@
   EXPECT_EQ(rig.balancer.inFlight(at), 1u) << "the end of the first must not be counted twice";
 }
 
+TEST(Answers, AStreamOfAnAttemptThatWasNeverSentIsMisuse) {
+  Rig rig;
+  rig.start(1);
+  rig.sent(1);
+  EXPECT_THROW(rig.feed(AttemptStarted{1, 1}), std::invalid_argument);
+  EXPECT_EQ(rig.balancer.inFlight(0), 1u);
+}
+
 // A body that is no longer at hand can't be sent again: a refusal where no attempt has run, else a failure.
 TEST(Answers, ASpentBodyIsNotSentAgain) {
   struct Case {
