Membership behind one interface; its source is picked in the operator's file

Lists came from one class that the sidecar owned and that knew the whole configuration.

A discovery that ends closes its connection, and a timer's handler that is on its way no longer meets it.

--- /dev/null
+++ b/src/membership/instance.h
@@ -0,0 +1,51 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// An upstream as a source of membership names it, and the JSON forms that all sources share.
+#ifndef IVYPOST_MEMBERSHIP_INSTANCE_H_
+#define IVYPOST_MEMBERSHIP_INSTANCE_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "orchiddrum/balancer.h"
+
+namespace ivypost {
+
+using Endpoint = boost::asio::ip::tcp::endpoint;
+
+struct Instance {
+  std::string id;
+  Endpoint address;
+  std::string zone, kind;
+  std::optional<std::uint32_t> cell;
+  orchiddrum::UpstreamState state = orchiddrum::UpstreamState::Serving;
+  double weight = 1;
+  std::int64_t startedAtMs = 0;  // Unix time; 0: long ago
+
+  bool operator==(const Instance&) const = default;
+};
+
+struct InstanceList {
+  std::int64_t generation = 0;
+  bool whole = false;  // not only what changed
+  std::vector<Instance> instances;
+};
+
+// All of these throw orchiddrum::FormatError with a message for one line of the log; those that take JSON may
+// throw nlohmann::json::exception for a member that is missing or of another type.
+
+// The form of the platform's discovery (docs of its protocol, "Discovery").
+InstanceList parseInstances(const std::string& text);
+InstanceList toInstances(const nlohmann::json& object);
+// One entry of it. `instanceId` is required.
+Instance toInstance(const nlohmann::json& item);
+// "10.0.0.4:8080" or "[::1]:8080"; no names.
+Endpoint parseEndpoint(const std::string& text);
+
+}  // namespace ivypost
+
+#endif  // IVYPOST_MEMBERSHIP_INSTANCE_H_
--- a/src/sidecar/discovery.cpp
+++ b/src/membership/platform.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
-#include "discovery.h"
+#include "membership/platform.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -9,7 +9,9 @@
 #include <optional>
 #include <utility>
 
-namespace ivypost {
+#include "settings.h"
+
+namespace ivypost::membership {
 namespace {
 
 namespace asio = boost::asio;
@@ -33,9 +35,9 @@
 }  // namespace
 
 // One connection to discovery. It carries call after call until one of them fails.
-class Discovery::Connection : public std::enable_shared_from_this<Connection> {
+class Platform::Connection : public std::enable_shared_from_this<Connection> {
  public:
-  explicit Connection(Discovery& owner) : owner_(&owner), socket_(owner.io_), timer_(owner.io_) {}
+  explicit Connection(Platform& owner) : owner_(&owner), socket_(owner.io_), timer_(owner.io_) {}
 
   void call(const std::string& target, milliseconds patience) {
     request_ = http::request<http::empty_body>(http::verb::get, target, 11);
@@ -56,13 +58,15 @@
   }
 
   // Its owner is gone: nobody is called back any more.
-  void orphan() noexcept { owner_ = nullptr; }
+  void orphan() noexcept {
+    owner_ = nullptr;
+    error_code ignored;
+    socket_.close(ignored);
+  }
 
   void close() {
     orphan();
     timer_.cancel();
-    error_code ignored;
-    socket_.close(ignored);
   }
 
  private:
@@ -84,7 +88,7 @@
       const auto& answer = self->parser_->get();
       if (answer.result() != http::status::ok)
         return self->fail("status " + std::to_string(answer.result_int()));
-      Discovery& owner = *self->owner_;
+      Platform& owner = *self->owner_;
       if (!self->parser_->keep_alive()) {
         self->close();
         owner.connection_ = nullptr;
@@ -95,13 +99,13 @@
 
   void fail(const std::string& trouble) {
     if (owner_ == nullptr) return;
-    Discovery& owner = *owner_;
+    Platform& owner = *owner_;
     close();
     owner.connection_ = nullptr;
     owner.failed(trouble);
   }
 
-  Discovery* owner_;  // none once it is closed
+  Platform* owner_;  // none once it is closed
   tcp::socket socket_;
   asio::steady_timer timer_;
   beast::flat_buffer buffer_;
@@ -109,31 +113,31 @@
   std::optional<http::response_parser<http::string_body>> parser_;
 };
 
-Discovery::Discovery(asio::io_context& io, const Config& config, Callbacks callbacks)
+Platform::Platform(asio::io_context& io, const Settings& settings, Callbacks callbacks)
     : io_(io),
-      address_(config.discovery),
+      address_(settings.address),
       callbacks_(std::move(callbacks)),
       pause_(io),
-      generation_(config.known ? std::optional(config.known->generation) : std::nullopt),
-      pushed_(!config.site.settings.mustSubscribe) {}
+      generation_(settings.generation),
+      pushed_(settings.pushed) {}
 
-Discovery::~Discovery() {
+Platform::~Platform() {
   if (connection_) connection_->orphan();
 }
 
-void Discovery::watch() {
+void Platform::watch() {
   if (std::exchange(watching_, true)) return;
   callAfter(milliseconds(0));
 }
 
-void Discovery::fetch() {
+void Platform::fetch() {
   fetching_ = true;
   // A watch that waits would hold the call up.
   if (connection_) std::exchange(connection_, nullptr)->close();
   callAfter(milliseconds(0));
 }
 
-void Discovery::moveTo(const Endpoint& address) {
+void Platform::platformMoved(const Endpoint& address) {
   if (address == address_) return;
   std::fprintf(stderr, "discovery moves to %s:%u\n", address.address().to_string().c_str(), address.port());
   address_ = address;
@@ -144,20 +148,21 @@
   callAfter(milliseconds(0));
 }
 
-std::chrono::microseconds Discovery::listAge() const {
+Freshness Platform::freshness() const {
   if (!answeredAt_) return {};
   const auto since = std::chrono::steady_clock::now() - *answeredAt_ - mayWait_;
-  return std::max(std::chrono::microseconds(0), std::chrono::duration_cast<std::chrono::microseconds>(since));
+  const auto age = std::chrono::duration_cast<std::chrono::microseconds>(since).count();
+  return {std::max<Micros>(0, age), !lost_ && !doubted_};
 }
 
-void Discovery::callAfter(milliseconds pause) {
+void Platform::callAfter(milliseconds pause) {
   pause_.expires_after(pause);
-  pause_.async_wait([this](error_code cancelled) {
-    if (!cancelled) call();
+  pause_.async_wait([this, alive = std::weak_ptr<int>(alive_)](error_code cancelled) {
+    if (!cancelled && !alive.expired()) call();
   });
 }
 
-void Discovery::call() {
+void Platform::call() {
   if (!watching_ && !fetching_) return;
   std::string target = "/v1/endpoints";
   const bool whole = fetching_ || !generation_ || doubted_;
@@ -169,7 +174,7 @@
   connection_->call(target, wait + (pushed_ ? kPatience : kAskedPatience));
 }
 
-void Discovery::answered(const std::string& text) {
+void Platform::answered(const std::string& text) {
   InstanceList list;
   try {
     list = parseInstances(text);
@@ -195,7 +200,7 @@
   if (news) callbacks_.told(std::move(list));
 }
 
-void Discovery::failed(const std::string& trouble) {
+void Platform::failed(const std::string& trouble) {
   if (!std::exchange(lost_, true))
     std::fprintf(stderr, "discovery: %s; the last list stays\n", trouble.c_str());
   // What was asked for is answered by its failure, and asked for anew by whoever wants it; a pushed list
@@ -206,4 +211,4 @@
   if (asked) callbacks_.failed();
 }
 
-}  // namespace ivypost
+}  // namespace ivypost::membership
--- /dev/null
+++ b/src/membership/platform.h
@@ -0,0 +1,68 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// The platform's discovery: the list of upstreams and its watch, one call at a time, each right after the
+// answer to the last, over one connection. Whatever goes wrong is logged and asked again; the last list
+// stays.
+#ifndef IVYPOST_MEMBERSHIP_PLATFORM_H_
+#define IVYPOST_MEMBERSHIP_PLATFORM_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "membership/source.h"
+
+namespace ivypost::membership {
+
+class Platform final : public Source {
+ public:
+  struct Settings {
+    Endpoint address;
+    std::optional<std::int64_t> generation;  // of the list that is known at the start; none: there is none
+    bool pushed = false;                     // the address is an agent's, whose watch never ends
+  };
+
+  Platform(boost::asio::io_context& io, const Settings& settings, Callbacks callbacks);
+  ~Platform() override;
+
+  void watch() override;
+  void fetch() override;
+  // The age counts from the last answer, less what the call that is out may wait for news.
+  Freshness freshness() const override;
+
+  // Watches from now on at another address. Its generations are its own: the whole list is asked for, again
+  // and again until it comes.
+  void platformMoved(const Endpoint& address) override;
+
+ private:
+  class Connection;
+
+  void call();
+  void answered(const std::string& text);
+  void failed(const std::string& trouble);
+  void callAfter(std::chrono::milliseconds pause);
+
+  boost::asio::io_context& io_;
+  Endpoint address_;
+  Callbacks callbacks_;
+  boost::asio::steady_timer pause_;
+  std::shared_ptr<Connection> connection_;
+  std::optional<std::int64_t> generation_;  // none: the next call asks for the whole list
+  const bool pushed_;
+  std::optional<std::chrono::steady_clock::time_point> answeredAt_;
+  std::chrono::milliseconds mayWait_{0};  // of the call that is out, or was last
+  bool watching_ = false;
+  bool fetching_ = false;
+  bool lost_ = false;
+  // A timer's handler may be on its way already when this ends.
+  std::shared_ptr<int> alive_ = std::make_shared<int>();
+  bool doubted_ = false;  // the last answer's generation was older than the one before
+};
+
+}  // namespace ivypost::membership
+
+#endif  // IVYPOST_MEMBERSHIP_PLATFORM_H_
--- /dev/null
+++ b/src/membership/source.h
@@ -0,0 +1,46 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// Where the list of upstreams comes from. Whatever the source, the last list stays when it fails: no source
+// takes an upstream away because a call came to nothing.
+#ifndef IVYPOST_MEMBERSHIP_SOURCE_H_
+#define IVYPOST_MEMBERSHIP_SOURCE_H_
+
+#include <cstdint>
+#include <functional>
+
+#include "membership/instance.h"
+
+namespace ivypost::membership {
+
+using Micros = orchiddrum::Micros;
+
+// What a source can say of its list at a moment.
+struct Freshness {
+  Micros age = 0;     // how long the list may have been out of date by now; 0 until the first one has come
+  bool sure = false;  // the source is in touch, and nothing it has heard contradicts the list
+};
+
+class Source {
+ public:
+  struct Callbacks {
+    // A whole list, or what has changed since the last one. The first is always whole.
+    std::function<void(InstanceList)> told;
+    // A call that was asked for by watch() or fetch() came to nothing. At most once for each.
+    std::function<void()> failed;
+  };
+
+  Source() = default;
+  Source(const Source&) = delete;
+  Source& operator=(const Source&) = delete;
+  virtual ~Source() = default;
+
+  virtual void watch() = 0;  // begins to follow; nothing if it does already
+  virtual void fetch() = 0;  // asks for the whole list once
+  virtual Freshness freshness() const = 0;
+  // The platform's file names another address of discovery. Nothing for a source that does not use it.
+  virtual void platformMoved(const Endpoint& /*address*/) {}
+};
+
+}  // namespace ivypost::membership
+
+#endif  // IVYPOST_MEMBERSHIP_SOURCE_H_
--- a/src/operator/file.cpp
+++ b/src/operator/file.cpp
@@ -53,6 +53,9 @@
     document.root().fail("", why);
   };
   if (const auto flaw = levels::flawOf(file.levels.ladder)) fail("levels", *flaw);
+  if (file.membership.source == File::Membership::Source::Etcd) {
+    if (const auto flaw = etcd::flawOf(file.membership.etcd)) fail("membership", "etcd." + *flaw);
+  }
   if (file.door.keepUsed < file.door.keepAny) fail("door", "keep_used has to be no less than keep_any");
   if (file.admission.figures.interval < file.admission.figures.target)
     fail("admission", "interval has to be no less than target");
--- a/src/operator/file.h
+++ b/src/operator/file.h
@@ -12,6 +12,7 @@
 
 #include "admission/door.h"
 #include "admission/queue.h"
+#include "etcd/options.h"
 #include "levels/ladder.h"
 
 namespace ivypost::op {
@@ -36,6 +37,12 @@
   struct Status {
     bool level = false;  // GET /status/level on the listening address
   } status;
+  struct Membership {
+    enum class Source : std::uint8_t { Platform, Etcd };
+    Source source = Source::Platform;
+    etcd::Options etcd;  // without a flaw where it is the source; else as it stands in the file
+    bool operator==(const Membership&) const = default;
+  } membership;
 };
 
 // Both throw configfile::Error, one line that names the file, the line, the key and what is allowed.
--- a/src/operator/keys.cpp
+++ b/src/operator/keys.cpp
@@ -135,6 +135,47 @@
           }};
 }
 
+constexpr std::size_t kMostText = 4096;
+
+Key text(std::string path, std::string what, Field<std::string> field) {
+  return {std::move(path), std::move(what),
+          [field](File& file, Table& table, std::string_view leaf) {
+            std::string value = table.text(leaf, field(file));
+            if (value.size() > kMostText) table.fail(leaf, "over 4096 bytes");
+            field(file) = std::move(value);
+          },
+          [field](const File& file) { return quoted(valueOf(field, file)); }};
+}
+
+std::string shownList(const std::vector<std::string>& texts) {
+  std::string list(1, '[');
+  for (const auto& one : texts) list.append(list.size() == 1 ? "" : ", ").append(quoted(one));
+  return list.append(1, ']');
+}
+
+Key source() {
+  return {"membership.source",
+          "Where the list of upstreams comes from: \"platform\", its discovery, or \"etcd\" (needs "
+          "ivypost-etcd).\n"
+          "Changed at SIGHUP, the old source counts until the new one has its first whole list.",
+          [](File& file, Table& table, std::string_view leaf) {
+            file.membership.source =
+                static_cast<File::Membership::Source>(table.choice(leaf, {"platform", "etcd"}, 0));
+          },
+          [](const File& file) {
+            return quoted(file.membership.source == File::Membership::Source::Etcd ? "etcd" : "platform");
+          }};
+}
+
+Key endpoints() {
+  return {"membership.etcd.endpoints",
+          "The members' client addresses, as \"https://10.0.0.4:2379\"; 16 at the most.",
+          [](File& file, Table& table, std::string_view leaf) {
+            file.membership.etcd.endpoints = table.texts(leaf, etcd::kMaxEndpoints);
+          },
+          [](const File& file) { return shownList(file.membership.etcd.endpoints); }};
+}
+
 Key order() {
   return {"admission.order",
           "Classes in the order in which they are favoured under overload, the worthiest first. Those that\n"
@@ -146,12 +187,48 @@
             if (std::adjacent_find(sorted.begin(), sorted.end()) != sorted.end())
               table.fail(leaf, "a class stands there twice");
           },
-          [](const File& file) {
-            std::string list(1, '[');
-            for (const auto& name : file.admission.order)
-              list.append(list.size() == 1 ? "" : ", ").append(quoted(name));
-            return list.append(1, ']');
-          }};
+          [](const File& file) { return shownList(file.admission.order); }};
+}
+
+void addMembership(std::vector<Key>& all) {
+  const std::string at = "membership.etcd.";
+  all.push_back(source());
+  all.push_back(endpoints());
+  all.push_back(flag(at + "names", "The platform can look names up; else endpoints are addresses.",
+                     [](File& f) -> bool& { return f.membership.etcd.names; }));
+  all.push_back(text(at + "prefix",
+                     "The keys are <prefix>/<service>/<instanceId>, each the JSON of an instance.",
+                     [](File& f) -> std::string& { return f.membership.etcd.prefix; }));
+  all.push_back(text(at + "service", "", [](File& f) -> std::string& { return f.membership.etcd.service; }));
+  all.push_back(text(at + "user", "Empty: no authentication.",
+                     [](File& f) -> std::string& { return f.membership.etcd.user; }));
+  all.push_back(text(at + "password_file", "Its password, the file's first and only line.",
+                     [](File& f) -> std::string& { return f.membership.etcd.passwordFile; }));
+  all.push_back(text(at + "ca", "PEM files, for endpoints with https://. Empty: the system's authorities ...",
+                     [](File& f) -> std::string& { return f.membership.etcd.ca; }));
+  all.push_back(text(at + "certificate", "... and no certificate of one's own.",
+                     [](File& f) -> std::string& { return f.membership.etcd.certificate; }));
+  all.push_back(text(at + "key", "", [](File& f) -> std::string& { return f.membership.etcd.key; }));
+  all.push_back(text(at + "server_name",
+                     "The name in the servers' certificates, where it is not the endpoint's.",
+                     [](File& f) -> std::string& { return f.membership.etcd.serverName; }));
+  all.push_back(time(at + "call_timeout", "Of each call.", 10'000,
+                     [](File& f) -> std::int64_t& { return f.membership.etcd.callTimeout; }));
+  all.push_back(
+      time(at + "audit",
+           "Between two looks whether the watch has withheld something. A removal that a stalled watch\n"
+           "hides is noticed after this and one or two call_timeout.",
+           50'000, [](File& f) -> std::int64_t& { return f.membership.etcd.audit; }));
+  all.push_back(time(at + "backoff", "After a failure: up to this, then longer and longer ...", 1000,
+                     [](File& f) -> std::int64_t& { return f.membership.etcd.backoff; }));
+  all.push_back(time(at + "max_backoff", "... up to this.", 1000,
+                     [](File& f) -> std::int64_t& { return f.membership.etcd.maxBackoff; }));
+  all.push_back(flag(at + "progress", "The members answer progress requests (3.4 and later).",
+                     [](File& f) -> bool& { return f.membership.etcd.progress; }));
+  all.push_back(whole<std::int64_t>(at + "page", "Keys of one call for the list.", 1, 10'000,
+                                    [](File& f) -> std::int64_t& { return f.membership.etcd.page; }));
+  all.push_back(whole<std::int64_t>(at + "max_keys", "A list of more is not taken.", 1, 100'000,
+                                    [](File& f) -> std::int64_t& { return f.membership.etcd.maxKeys; }));
 }
 
 std::vector<Key> build() {
@@ -198,6 +275,7 @@
       time("levels.probation", "... for so long.", 1000,
            [](File& f) -> std::int64_t& { return f.levels.ladder.probation; }),
   };
+  addMembership(all);
   for (std::size_t n = 0; n < levels::kSignals; ++n) all.push_back(smoothing(static_cast<Signal>(n)));
   for (std::size_t level = 1; level < levels::kLevels; ++level) {
     for (std::size_t n = 0; n < levels::kSignals; ++n)
--- a/src/sidecar/config.cpp
+++ b/src/sidecar/config.cpp
@@ -4,15 +4,12 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <boost/asio/ip/address.hpp>
 #include <charconv>
-#include <cmath>
 #include <cstdlib>
 #include <exception>
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
-#include <set>
 #include <string_view>
 
 #include "console/console_io.h"
@@ -24,7 +21,6 @@
 using orchiddrum::bad;
 using orchiddrum::FormatError;
 
-constexpr double kMaxWeight = 1e6;
 // Descriptors of the process itself: its log, the loop's own, signals, what it listens on, discovery, files.
 constexpr double kOwnSockets = 16;
 // And of the operators' console, where there is one.
@@ -72,51 +68,6 @@
   }
 }
 
-Instance toInstance(const json& item) {
-  Instance instance;
-  instance.id = item.at("instanceId").get<std::string>();
-  if (instance.id.empty()) bad("an instance without", "instanceId");
-  instance.zone = word(item.value("zone", ""));
-  instance.kind = word(item.value("machineType", ""));
-  if (item.contains("cell") && !item["cell"].is_null()) instance.cell = item["cell"].get<std::uint32_t>();
-  const auto state = item.at("lifecycle").get<std::string>();
-  if (state == "up") {
-    instance.state = orchiddrum::UpstreamState::Serving;
-  } else if (state == "draining") {
-    instance.state = orchiddrum::UpstreamState::Draining;
-  } else if (state == "removed") {
-    instance.state = orchiddrum::UpstreamState::Gone;
-  } else {
-    bad("unknown lifecycle", state);
-  }
-  // One that is removed has no use for an address.
-  if (instance.state != orchiddrum::UpstreamState::Gone || item.contains("hostPort"))
-    instance.address = parseEndpoint(item.at("hostPort").get<std::string>());
-  instance.weight = item.value("weight", 1.0);
-  if (!std::isfinite(instance.weight) || instance.weight < 0 || instance.weight > kMaxWeight)
-    bad("weight is out of range:", item["weight"].dump());
-  instance.startedAtMs = item.value("startedAtMs", std::int64_t{0});
-  if (instance.startedAtMs < 0 || instance.startedAtMs > orchiddrum::kMaxTime / 1000)
-    bad("startedAtMs is out of range:", item["startedAtMs"].dump());
-  return instance;
-}
-
-// Throws for a whole list that names an instance twice: which of the two holds, nobody knows. Among changes
-// the later one does.
-InstanceList toInstances(const json& object) {
-  InstanceList list;
-  list.generation = object.at("generation").get<std::int64_t>();
-  list.whole = object.at("reset").get<bool>();
-  std::set<std::string_view> named;
-  list.instances.reserve(object.at("instances").size());
-  for (const json& item : object.at("instances")) {
-    list.instances.push_back(toInstance(item));
-    const std::string& id = list.instances.back().id;
-    if (list.whole && !named.insert(id).second) bad("the whole list names an instance twice:", id);
-  }
-  return list;
-}
-
 // What the platform remembers of the last list is a help at the start, and no reason not to start.
 std::optional<InstanceList> toKnown(const json& object, std::vector<std::string>& remarks) {
   try {
@@ -182,28 +133,6 @@
   return static_cast<std::size_t>(kRelayShare * std::min(memoryMb, kMostMemoryMb) * 1e6 / (listener ? 2 : 1));
 }
 
-Endpoint parseEndpoint(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos || colon == 0) bad("not an address and port:", text);
-  std::string host = text.substr(0, colon);
-  if (host.size() > 2 && host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
-  boost::system::error_code error;
-  const auto address = boost::asio::ip::make_address(host, error);
-  std::uint16_t port = 0;
-  const char* const last = text.data() + text.size();
-  const auto [end, failure] = std::from_chars(text.data() + colon + 1, last, port);
-  if (error || failure != std::errc() || end != last) bad("not an address and port:", text);
-  return {address, port};
-}
-
-InstanceList parseInstances(const std::string& text) {
-  try {
-    return toInstances(parseJson(text));
-  } catch (const json::exception& error) {
-    bad("not a list of instances:", error.what());
-  }
-}
-
 Config parseConfig(const std::string& text) {
   const json file = parseJson(text);
   Config config;
--- a/src/sidecar/config.h
+++ b/src/sidecar/config.h
@@ -1,40 +1,21 @@
 // Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
 //
-// What a sidecar is told at its start: environment and JSON file to a typed configuration. Also reads lists
-// of upstreams, which configuration and discovery give in the same form.
+// What a sidecar is told at its start: environment and JSON file to a typed configuration.
 #ifndef IVYPOST_CONFIG_H_
 #define IVYPOST_CONFIG_H_
 
-#include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "membership/instance.h"
 #include "settings.h"
 
 namespace ivypost {
 
 using orchiddrum::Micros;
 using orchiddrum::UpstreamId;
-using Endpoint = boost::asio::ip::tcp::endpoint;
-
-// One upstream as discovery names it.
-struct Instance {
-  std::string id;
-  Endpoint address;
-  std::string zone, kind;
-  std::optional<std::uint32_t> cell;
-  orchiddrum::UpstreamState state = orchiddrum::UpstreamState::Serving;
-  double weight = 1;
-  std::int64_t startedAtMs = 0;  // Unix time; 0: long ago
-};
-
-struct InstanceList {
-  std::int64_t generation = 0;
-  bool whole = false;  // not only what changed
-  std::vector<Instance> instances;
-};
 
 struct Config {
   std::string name;
@@ -61,8 +42,6 @@
 // All of these throw orchiddrum::FormatError with a message for one line of the log.
 Config readConfig();  // from the environment and the file that it names
 Config parseConfig(const std::string& text);
-InstanceList parseInstances(const std::string& text);
-Endpoint parseEndpoint(const std::string& text);
 
 }  // namespace ivypost
 
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -15,6 +15,7 @@
 #include <utility>
 
 #include "config.h"
+#include "etcd_source.h"
 #include "operator/file.h"
 #include "sidecar.h"
 
@@ -61,7 +62,7 @@
     boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
     ivypost::Config config = ivypost::readConfig();
     for (const std::string& remark : config.site.remarks) std::fprintf(stderr, "%s\n", remark.c_str());
-    ivypost::Sidecar sidecar(io, std::move(config), readFile(path));
+    ivypost::Sidecar sidecar(io, std::move(config), readFile(path), ivypost::etcdSource());
     const std::function<void()> listen = [&] {
       signals.async_wait([&](const boost::system::error_code& cancelled, int signal) {
         if (cancelled) return;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -39,7 +39,7 @@
 
 }  // namespace
 
-Sidecar::Sidecar(asio::io_context& io, Config config, const op::File& file)
+Sidecar::Sidecar(asio::io_context& io, Config config, const op::File& file, MakeEtcd makeEtcd)
     : io_(io),
       config_(std::move(config)),
       unixToSteady_(now() - unixNow()),
@@ -51,14 +51,17 @@
           {[this](AttemptId id) { onWritten(id); }, [this](AttemptEnd end) { onEnded(std::move(end)); },
            [this](StreamBegin begin) { onBegan(std::move(begin)); },
            [this](const ProbeEnd& end) { onProbed(end); }}),
-      discovery_(io, config_,
-                 {[this](const InstanceList& list) {
-                    onList(list, list.whole ? MembershipUpdate::Kind::Full : MembershipUpdate::Kind::Changes);
-                    onLifecycle(lifecycle::Event::Listed);
-                  },
-                  [this] {
-                    handle(MembershipUpdate{MembershipUpdate::Kind::Failed, {}});
-                  }}),
+      makeEtcd_(std::move(makeEtcd)),
+      membership_(io, config_.seed,
+                  {[this](const InstanceList& list) {
+                     if (!membership_.takesOver()) followed_ = wanted_;
+                     onList(list,
+                            list.whole ? MembershipUpdate::Kind::Full : MembershipUpdate::Kind::Changes);
+                     onLifecycle(lifecycle::Event::Listed);
+                   },
+                   [this] {
+                     handle(MembershipUpdate{MembershipUpdate::Kind::Failed, {}});
+                   }}),
       server_(io, config_, file, budget_,
               {[this](ClientRequest client) { onTaken(std::move(client)); },
                [this](RequestId id) { onOver(id); }, [this] { return status(); },
@@ -73,12 +76,14 @@
       rotationTimer_(io),
       consoleTimer_(io) {
   level_.adopt(file.levels);
+  follow(file.membership, config_.discovery);
   if (config_.console) {
     if (auto kept = rotationFile_.read()) rotation_ = std::move(*kept);
     watchRotation();
   }
   onList(config_.known.value_or(InstanceList{}), MembershipUpdate::Kind::Saved);
-  if (!config_.site.settings.mustSubscribe) discovery_.watch();
+  if (!config_.site.settings.mustSubscribe || followed_.source == op::File::Membership::Source::Etcd)
+    membership_.watch();
   onLifecycle(lifecycle::Event::Tick);
   if (config_.console) openConsole();
 }
@@ -95,11 +100,47 @@
 
 void Sidecar::reload(const Config& config, const op::File& file) {
   server_.gate().check(file);
-  discovery_.moveTo(config.discovery);
+  follow(file.membership, config.discovery);
+  membership_.platformMoved(config.discovery);
   server_.adopt(file);
   level_.adopt(file.levels);
 }
 
+// Begins with this source, or changes to it. Throws where it can't be made, and then nothing has changed.
+void Sidecar::follow(const op::File::Membership& wanted, const Endpoint& discovery) {
+  using From = op::File::Membership::Source;
+  const bool first = !membership_.started();
+  // Of a source that is not used, the figures make no difference.
+  const auto same = [&](const op::File::Membership& other) {
+    return wanted.source == other.source && (wanted.source == From::Platform || wanted.etcd == other.etcd);
+  };
+  if (!first && same(wanted_)) return;
+  if (!first && same(followed_)) {
+    membership_.abandonNext();
+    wanted_ = wanted;
+    return log("membership stays with its source");
+  }
+  membership_.begin([&](membership::Source::Callbacks callbacks) -> std::unique_ptr<membership::Source> {
+    if (wanted.source == From::Etcd) {
+      if (!makeEtcd_)
+        orchiddrum::bad("membership.source: this program is built without etcd, ivypost-etcd is with it:",
+                        "etcd");
+      return makeEtcd_(io_, wanted.etcd, config_.seed, std::move(callbacks));
+    }
+    membership::Platform::Settings settings;
+    settings.address = discovery;
+    if (first && config_.known) settings.generation = config_.known->generation;
+    settings.pushed = !config_.site.settings.mustSubscribe;
+    return std::make_unique<membership::Platform>(io_, settings, std::move(callbacks));
+  });
+  wanted_ = wanted;
+  if (first) {
+    followed_ = wanted;
+  } else {
+    log(std::string("membership is to come from ") + (wanted.source == From::Etcd ? "etcd" : "the platform"));
+  }
+}
+
 // ---- Events -----------------------------------------------------------------------------------------------
 
 void Sidecar::handle(const orchiddrum::Event& event) {
@@ -371,7 +412,7 @@
   const auto working = static_cast<double>(door.count(admission::Door::State::Working));
   gauges.busyPlaces = std::max(working / static_cast<double>(door.places()), upstreams_.busyShare());
   gauges.beyondShare = server_.gate().beyondShare();
-  gauges.listAge = discovery_.listAge().count();
+  gauges.listAge = membership_.freshness().age;
   return gauges;
 }
 
@@ -379,6 +420,11 @@
   nlohmann::json status = level_.status();
   status["name"] = config_.name;
   status["waiting"] = server_.gate().waiting();
+  const membership::Freshness freshness = membership_.freshness();
+  status["membership"] = {
+      {"source", followed_.source == op::File::Membership::Source::Etcd ? "etcd" : "platform"},
+      {"age_ms", freshness.age / 1000},
+      {"sure", freshness.sure}};
   for (std::size_t n = 0; n < admission::kVerdicts; ++n) {
     const auto verdict = static_cast<admission::Verdict>(n);
     status["queue"][admission::nameOf(verdict)] = server_.gate().count(verdict);
@@ -457,11 +503,11 @@
 }
 
 void Sidecar::carryOut(const orchiddrum::Subscribe& /*subscribe*/) {
-  discovery_.watch();
+  membership_.watch();
 }
 
 void Sidecar::carryOut(const orchiddrum::Fetch& /*fetch*/) {
-  discovery_.fetch();
+  membership_.fetch();
 }
 
 void Sidecar::carryOut(const orchiddrum::Log& log) {
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -18,8 +18,9 @@
 
 #include "config.h"
 #include "console/console_io.h"
-#include "discovery.h"
 #include "lifecycle/lifecycle.h"
+#include "membership/membership.h"
+#include "membership/platform.h"
 #include "rotation/rotation_file.h"
 #include "server.h"
 #include "service_level.h"
@@ -29,9 +30,15 @@
 
 class Sidecar {
  public:
-  // Throws orchiddrum::FormatError for an operator's file that does not fit the configuration, and what the
-  // server throws.
-  explicit Sidecar(boost::asio::io_context& io, Config config, const op::File& file = {});
+  // Makes the source that follows etcd; empty where this program is built without it. Throws
+  // orchiddrum::FormatError, one line, for options that can't be used.
+  using MakeEtcd = std::function<std::unique_ptr<membership::Source>(
+      boost::asio::io_context&, const etcd::Options&, std::uint64_t seed, membership::Source::Callbacks)>;
+
+  // Throws orchiddrum::FormatError for an operator's file that does not fit the configuration or this
+  // program, and what the server throws.
+  explicit Sidecar(boost::asio::io_context& io, Config config, const op::File& file = {},
+                   MakeEtcd makeEtcd = {});
 
   // Takes over what may change while it runs: where discovery is, and the operator's file. The rest waits for
   // the next start. Throws orchiddrum::FormatError, and then nothing has changed.
@@ -45,6 +52,7 @@
   lifecycle::State state() const { return lifecycle_.state(); }
   // None: there is no console, or it could not be bound yet.
   std::optional<std::uint16_t> consolePort() const;
+  membership::Freshness freshness() const { return membership_.freshness(); }
   // For tests: the upstreams' numbers, in use and free; connections to them that are not up yet.
   std::size_t upstreamNumbers() const { return known_.size(); }
   std::size_t comingUp() const { return upstreams_.comingUp(); }
@@ -82,6 +90,7 @@
   void onProbed(const ProbeEnd& end);
   void onList(const InstanceList& list, orchiddrum::MembershipUpdate::Kind kind);
   void onTimer();
+  void follow(const op::File::Membership& wanted, const Endpoint& discovery);
   void onLifecycle(lifecycle::Event event);
   void onRotation(rotation::Rotation next);
   console::Reply onCall(const console::Call& call);
@@ -129,7 +138,10 @@
   relay::Budget budget_;                    // of bodies in transit
   std::map<Endpoint, UpstreamId> holders_;  // of each address, the upstream that was listed there last
   Upstreams upstreams_;
-  Discovery discovery_;
+  const MakeEtcd makeEtcd_;
+  membership::Membership membership_;
+  op::File::Membership followed_;  // by the source that counts
+  op::File::Membership wanted_;    // by it, or by the one that is to take over
   Server server_;
   ServiceLevel level_;
   lifecycle::Lifecycle lifecycle_;
--- a/tests/operator/file_test.cpp
+++ b/tests/operator/file_test.cpp
@@ -44,6 +44,8 @@
       value = "[\"a\", \"b\"]";
     else if (old.front() == '{')
       continue;  // tested below
+    else if (key.path == "membership.source")
+      value = "\"etcd\"";
     else if (old.front() == '"')
       value = "\"123ms\"";
     else
@@ -53,6 +55,7 @@
         "[" + std::string(key.section()) + "]\n" + std::string(key.leaf()) + " = " + value + "\n";
     if (key.path == "door.keep_any") text += "keep_used = 0.9\n";
     if (key.path == "admission.target") text += "interval = \"200ms\"\n";
+    if (key.path == "membership.source") text += "[membership.etcd]\nendpoints = [\"10.0.0.4:2379\"]\n";
     if (key.path == "levels.max_calm") text += "calm = \"100ms\"\n";
     EXPECT_EQ(key.show(parse(text, "op.toml")), value) << key.path;
   }
@@ -94,6 +97,13 @@
        "op.toml:1: levels: thrifty, cpu share: the exit has to lie under the entry, and neither under 0"},
       {"[levels.shed]\nlist_age = { enter = \"9s\", exit = \"8s\" }\n",
        "op.toml:1: levels: shed, list age: the level below has none for it"},
+      {"[membership]\nsource = \"dns\"\n",
+       "op.toml:2: membership.source: \"dns\" is not allowed; allowed is platform, etcd"},
+      {"[membership]\nsource = \"etcd\"\n", "op.toml:1: membership: etcd.endpoints has to name one at least"},
+      {"[membership]\nsource = \"etcd\"\n[membership.etcd]\nendpoints = [\"http://etcd:2379\"]\n",
+       "op.toml:1: membership: etcd.endpoints: 'http://etcd:2379' is a name, and names = false: this "
+       "platform "
+       "has no DNS; give an address"},
       {"levels = 3\n", "op.toml:1: levels: 3 stands where a table belongs"},
   };
   for (const auto& [text, error] : rows) EXPECT_EQ(errorOf(text), error) << text;
