Membership by etcd: a follower that proves its list, its gRPC client, ivypost-etcd, a stand-in

Change: src/etcd/follower is a state machine without I/O: list in pages of one revision, watch from the next, resume after a cut, fragments, audits (a keys-only Range that gives the newest revision and the count, compared with the state as of that revision), doubts that have to be told again before they are followed, backoff by seed. client carries it out over gRPC (libgrpc++) on the loop's thread, with tokens, TLS, hasleader, time-outs; only ivypost-etcd links it. src/standins/etcd serves the published API with a multi-version store, watches, leases and tokens, and fails in fifteen ways; ivyetcd is its program. bench/etcd.sh measures.

Found on the way: a progress response between two fragments ended the first one's response (RapidCheck); a stream that was closed with no read under way never ended, and its client waited for it for ever; gRPC kept a silent connection until its ping, so a call that times out now lets go of it.

--- /dev/null
+++ b/src/etcd/source.cpp
@@ -0,0 +1,72 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+#include "etcd/source.h"
+
+#include <chrono>
+#include <utility>
+#include <variant>
+
+#include "settings.h"
+
+namespace ivypost::etcd {
+namespace {
+
+using std::chrono::microseconds;
+
+Micros now() {
+  const auto since = std::chrono::steady_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<microseconds>(since).count();
+}
+
+const Options& checked(const Options& options) {
+  if (const auto flaw = flawOf(options)) throw orchiddrum::FormatError("etcd: " + *flaw);
+  return options;
+}
+
+}  // namespace
+
+Source::Source(boost::asio::io_context& io, const Options& options, std::uint64_t seed, Callbacks callbacks,
+               std::function<void(const std::string&)> log)
+    : callbacks_(std::move(callbacks)),
+      log_(std::move(log)),
+      timer_(io),
+      follower_(checked(options), seed),
+      client_(io, options,
+              {[this](Follower::Ranged ranged) { run(std::move(ranged)); },
+               [this](Follower::Watched watched) { run(std::move(watched)); },
+               [this](Follower::Ended ended) { run(std::move(ended)); }, log_}) {}
+
+Freshness Source::freshness() const {
+  return follower_.freshness(now());
+}
+
+void Source::run(Follower::Input input) {
+  inputs_.push_back(std::move(input));
+  if (std::exchange(running_, true)) return;
+  while (!inputs_.empty()) {
+    const Follower::Input next = std::move(inputs_.front());
+    inputs_.pop_front();
+    Follower::Actions actions;
+    follower_.handle(next, now(), actions);
+    for (const auto& action : actions) std::visit([this](const auto& one) { carryOut(one); }, action);
+  }
+  running_ = false;
+  arm();
+}
+
+void Source::carryOut(const Follower::Publish& publish) {
+  callbacks_.told({publish.revision, publish.whole, publish.instances});
+}
+
+void Source::arm() {
+  const auto at = follower_.wakeAt();
+  if (!at) {
+    timer_.cancel();
+    return;
+  }
+  timer_.expires_at(std::chrono::steady_clock::time_point(microseconds(*at)));
+  timer_.async_wait([this, alive = std::weak_ptr<int>(alive_)](const boost::system::error_code& cancelled) {
+    if (!cancelled && !alive.expired()) run(Follower::Due{});
+  });
+}
+
+}  // namespace ivypost::etcd
--- /dev/null
+++ b/src/sidecar/etcd_source.cpp
@@ -0,0 +1,19 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+#include "etcd_source.h"
+
+#include <cstdio>
+
+#include "etcd/source.h"
+
+namespace ivypost {
+
+Sidecar::MakeEtcd etcdSource() {
+  return [](boost::asio::io_context& io, const etcd::Options& options, std::uint64_t seed,
+            membership::Source::Callbacks callbacks) -> std::unique_ptr<membership::Source> {
+    return std::make_unique<etcd::Source>(
+        io, options, seed, std::move(callbacks),
+        [](const std::string& line) { std::fprintf(stderr, "%s\n", line.c_str()); });
+  };
+}
+
+}  // namespace ivypost
--- /dev/null
+++ b/tests/etcd/follower_rig.h
@@ -0,0 +1,315 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// Followers against an etcd in made-up time: the stand-in's store and watches, members that fail in every way
+// that tests ask for, and a network whose messages take their time. Nothing waits and nothing is random but
+// by the rig's seed.
+#ifndef IVYPOST_TESTS_ETCD_FOLLOWER_RIG_H_
+#define IVYPOST_TESTS_ETCD_FOLLOWER_RIG_H_
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "etcd/follower.h"
+#include "etcd/wire.h"
+#include "standins/etcd/store.h"
+#include "standins/etcd/watches.h"
+
+namespace ivypost::etcd {
+
+namespace pb = etcdserverpb;
+using standins::etcd::Failure;
+using standins::etcd::Store;
+using standins::etcd::Watches;
+
+constexpr Micros kMs = 1000, kSecond = 1'000'000;
+
+inline std::string instanceJson(int port, std::int64_t startedAtMs = 0, const char* lifecycle = "up") {
+  return R"({"hostPort":"127.0.0.1:)" + std::to_string(port) + R"(","lifecycle":")" + lifecycle +
+         R"(","startedAtMs":)" + std::to_string(startedAtMs) + "}";
+}
+
+class FollowerRig {
+ public:
+  struct Member {
+    bool down = false;             // calls fail at once, streams end
+    bool stalled = false;          // everything is taken, nothing is said
+    bool withheld = false;         // no events; progress and calls are answered
+    bool behind = false;           // its watches bring nothing, and reads wait for what it has not got
+    std::optional<Store> lagging;  // it answers everything from this, which no sound member would
+    std::uint64_t cluster = 7;
+    bool progressAhead = false, repeated = false, cutFragment = false;
+  };
+  struct Sidecar {
+    explicit Sidecar(const Options& options, std::uint64_t seed) : follower(options, seed) {}
+    Follower follower;
+    std::map<std::string, Instance> list;  // as published
+    std::vector<Follower::Publish> published;
+    std::vector<std::string> reports;
+    int fetchFailed = 0;
+    // Its open stream.
+    std::uint64_t stream = 0;
+    std::size_t member = 0;
+    Watches watches;
+    std::vector<Follower::Watched> held;  // while the member stalls
+    Micros clearAt = 0;                   // messages on a stream stay in order
+  };
+
+  explicit FollowerRig(std::size_t count = 3, std::size_t sidecars = 1, std::uint64_t seed = 1)
+      : random_(seed), members(count) {
+    for (std::size_t n = 0; n < count; ++n)
+      options.endpoints.push_back("http://10.0.0." + std::to_string(n + 1) + ":2379");
+    for (std::size_t n = 0; n < sidecars; ++n)
+      all.push_back(std::make_unique<Sidecar>(options, seed * 1000 + n));
+  }
+
+  Sidecar& one() { return *all.front(); }
+  const std::map<std::string, Instance>& list() { return one().list; }
+
+  // ---- The store ----
+  static std::string key(const std::string& id) { return "/ivypost/nodes/" + id; }
+  void put(const std::string& id, const std::string& value) { txn({}, {{key(id), value}}); }
+  void remove(const std::string& id) { txn({key(id)}, {}); }
+  void txn(const std::vector<std::string>& gone,
+           const std::vector<std::pair<std::string, std::string>>& puts) {
+    pb::TxnRequest request;
+    for (const auto& k : gone) request.add_success()->mutable_request_delete_range()->set_key(k);
+    for (const auto& [k, v] : puts) {
+      request.add_success()->mutable_request_put()->set_key(k);
+      request.mutable_success(request.success_size() - 1)->mutable_request_put()->set_value(v);
+      everPut.insert({k, v});
+    }
+    pb::TxnResponse response;
+    store.txn(request, response);
+    changed();
+  }
+  void compact() {
+    pb::CompactionRequest request;
+    request.set_revision(store.revision());
+    store.compact(request);
+    changed();
+  }
+  void changed() {
+    for (const auto& sidecar : all) poll(*sidecar);
+  }
+  std::map<std::string, std::string> content() const {
+    pb::RangeRequest request;
+    request.set_key("/ivypost/nodes/");
+    request.set_range_end("/ivypost/nodes0");
+    pb::RangeResponse response;
+    store.range(request, response);
+    std::map<std::string, std::string> values;
+    for (const auto& kv : response.kvs()) values[kv.key()] = kv.value();
+    return values;
+  }
+  // The ports of the list, and of the store where values are instances.
+  static std::map<std::string, int> ports(const std::map<std::string, Instance>& list) {
+    std::map<std::string, int> ports;
+    for (const auto& [id, instance] : list) ports[id] = instance.address.port();
+    return ports;
+  }
+
+  // ---- Faults ----
+  void dropStreams(std::size_t member) {
+    for (const auto& sidecar : all) {
+      if (sidecar->stream != 0 && sidecar->member == member) endStream(*sidecar, Code::Unavailable, "cut");
+    }
+  }
+  void down(std::size_t member, bool on) {
+    members[member].down = on;
+    if (on) dropStreams(member);
+  }
+  void stall(std::size_t member, bool on) {
+    members[member].stalled = on;
+    if (on) return;
+    for (const auto& sidecar : all) {
+      if (sidecar->member != member) continue;
+      for (auto& watched : std::exchange(sidecar->held, {})) deliver(*sidecar, std::move(watched));
+    }
+  }
+  void withhold(std::size_t member, bool on) {
+    members[member].withheld = on;
+    if (!on) changed();
+  }
+
+  // ---- Time ----
+  void start() {
+    for (const auto& sidecar : all) handle(*sidecar, Follower::Start{});
+  }
+  void after(Micros delay, std::function<void()> what) { queue_.emplace(now + delay, std::move(what)); }
+  void run(Micros span) {
+    const Micros end = now + span;
+    while (!queue_.empty() && queue_.begin()->first <= end) {
+      auto node = queue_.extract(queue_.begin());
+      now = std::max(now, node.key());
+      node.mapped()();
+    }
+    now = end;
+  }
+  // How long until the condition holds; none: not within the span.
+  std::optional<Micros> until(Micros span, const std::function<bool()>& condition) {
+    const Micros from = now;
+    while (!condition()) {
+      if (now - from >= span) return std::nullopt;
+      run(kMs);
+    }
+    return now - from;
+  }
+  void handle(Sidecar& sidecar, const Follower::Input& input) {
+    Follower::Actions actions;
+    sidecar.follower.handle(input, now, actions);
+    for (auto& action : actions) std::visit([&](auto& what) { carryOut(sidecar, what); }, action);
+    const auto at = sidecar.follower.wakeAt();
+    if (!at) return;
+    after(std::max<Micros>(0, *at - now), [this, &sidecar, at] {
+      if (sidecar.follower.wakeAt() == at) handle(sidecar, Follower::Due{});
+    });
+  }
+
+  Micros latency() { return kMs + static_cast<Micros>(random_() % 2000); }
+  bool reported(const std::string& part) {
+    const auto& reports = one().reports;
+    return std::any_of(reports.begin(), reports.end(),
+                       [&](const std::string& line) { return line.find(part) != std::string::npos; });
+  }
+
+ private:
+  std::mt19937_64 random_;
+
+ public:
+  Options options;
+  Store store;
+  std::vector<Member> members;
+  std::vector<std::unique_ptr<Sidecar>> all;
+  std::set<std::pair<std::string, std::string>> everPut;
+  Micros now = kSecond;
+  std::vector<Micros> calls;                // when each call reached etcd, streams too
+  std::function<void(std::size_t)> onList;  // a list's first page was read at this member
+  std::size_t fragmentEvents = 0;
+  std::uint64_t progressAsked = 0;
+
+ private:
+  const Store& storeOf(const Member& member) const { return member.lagging ? *member.lagging : store; }
+
+  void carryOut(Sidecar& sidecar, const Follower::Range& range) {
+    after(latency(), [this, &sidecar, range] {
+      calls.push_back(now);
+      Member& member = members[range.endpoint];
+      Follower::Ranged result;
+      if (member.stalled || member.behind) {
+        result = {range.call, Code::Timeout, ""};
+        after(range.timeout, [this, &sidecar, result] { handle(sidecar, result); });
+        return;
+      }
+      if (member.down) {
+        result = {range.call, Code::Unavailable, "connection refused"};
+      } else {
+        pb::RangeResponse response;
+        const Failure failure = storeOf(member).range(toRequest(range), response);
+        result = toRanged(response);
+        result.header = {member.cluster, range.endpoint + 1, storeOf(member).revision()};
+        result.call = range.call;
+        if (failure == Failure::Compacted) result.code = Code::Compacted;
+        if (failure == Failure::FutureRevision) result.code = Code::FutureRevision;
+        if (!range.audit && range.revision == 0 && onList) onList(range.endpoint);
+      }
+      after(latency(), [this, &sidecar, result] { handle(sidecar, result); });
+    });
+  }
+  void carryOut(Sidecar& sidecar, const Follower::Watch& watch) {
+    after(latency(), [this, &sidecar, watch] {
+      calls.push_back(now);
+      sidecar.stream = watch.stream;
+      sidecar.member = watch.endpoint;
+      sidecar.watches = Watches{};
+      sidecar.watches.fragmentEvents = fragmentEvents;
+      sidecar.held.clear();
+      if (members[watch.endpoint].down) return endStream(sidecar, Code::Unavailable, "connection refused");
+      send(sidecar, sidecar.watches.request(toRequest(watch), storeOf(members[watch.endpoint])));
+    });
+  }
+  void carryOut(Sidecar& sidecar, const Follower::AskProgress& ask) {
+    ++progressAsked;
+    after(latency(), [this, &sidecar, ask] {
+      if (sidecar.stream != ask.stream) return;
+      pb::WatchRequest request;
+      request.mutable_progress_request();
+      send(sidecar, sidecar.watches.request(request, storeOf(members[sidecar.member])));
+    });
+  }
+  void carryOut(Sidecar& sidecar, const Follower::Close& close) {
+    if (sidecar.stream == close.stream) sidecar.stream = 0;
+  }
+  void carryOut(Sidecar& sidecar, const Follower::Publish& publish) {
+    if (publish.whole) sidecar.list.clear();
+    for (const Instance& instance : publish.instances) {
+      if (instance.state == orchiddrum::UpstreamState::Gone) {
+        sidecar.list.erase(instance.id);
+      } else {
+        sidecar.list.insert_or_assign(instance.id, instance);
+      }
+    }
+    sidecar.published.push_back(publish);
+  }
+  void carryOut(Sidecar& sidecar, const Follower::FetchFailed& /*failed*/) { ++sidecar.fetchFailed; }
+  void carryOut(Sidecar& sidecar, const Follower::Report& report) { sidecar.reports.push_back(report.text); }
+
+  void poll(Sidecar& sidecar) {
+    if (sidecar.stream == 0 || members[sidecar.member].withheld || members[sidecar.member].behind) return;
+    send(sidecar, sidecar.watches.poll(storeOf(members[sidecar.member])));
+  }
+  void send(Sidecar& sidecar, const std::vector<pb::WatchResponse>& responses) {
+    Member& member = members[sidecar.member];
+    for (const auto& response : responses) {
+      Follower::Watched watched = toWatched(response);
+      watched.stream = sidecar.stream;
+      watched.header.cluster = member.cluster;
+      if (member.withheld && !watched.events.empty()) continue;
+      if (member.progressAhead && !watched.events.empty()) {
+        Follower::Watched progress;
+        progress.stream = sidecar.stream;
+        progress.header = {member.cluster, 1, store.revision()};
+        deliver(sidecar, progress);
+      }
+      const bool cut = member.cutFragment && watched.fragment;
+      if (member.repeated && !watched.fragment) deliver(sidecar, watched);
+      deliver(sidecar, std::move(watched));
+      if (cut) {
+        member.cutFragment = false;
+        return endStream(sidecar, Code::Unavailable, "cut");
+      }
+    }
+  }
+  void deliver(Sidecar& sidecar, Follower::Watched watched) {
+    if (members[sidecar.member].stalled) {
+      sidecar.held.push_back(std::move(watched));
+      return;
+    }
+    sidecar.clearAt = std::max(sidecar.clearAt, now + latency());
+    after(sidecar.clearAt - now, [this, &sidecar, watched = std::move(watched)] {
+      if (watched.stream == sidecar.stream) handle(sidecar, watched);
+    });
+  }
+  void endStream(Sidecar& sidecar, Code code, const std::string& text) {
+    const std::uint64_t stream = sidecar.stream;
+    sidecar.clearAt = std::max(sidecar.clearAt, now + latency());
+    after(sidecar.clearAt - now, [this, &sidecar, stream, code, text] {
+      if (sidecar.stream != stream) return;
+      sidecar.stream = 0;
+      handle(sidecar, Follower::Ended{stream, code, text});
+    });
+  }
+
+  std::multimap<Micros, std::function<void()>> queue_;
+};
+
+}  // namespace ivypost::etcd
+
+#endif  // IVYPOST_TESTS_ETCD_FOLLOWER_RIG_H_
--- /dev/null
+++ b/tests/etcd/membership_test.cpp
@@ -0,0 +1,326 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// A sidecar that follows the stand-in of etcd while nodes come and go and members drop, stall, withhold and
+// compact at random, judged by the ledger: no request reaches a removed node more than two seconds after its
+// removal in the store. Then a change of the source at SIGHUP.
+//
+// IVYPOST_ETCD_SECONDS: how long it plays, 60 if it is not set. The times from removal to the last request
+// are printed.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <cstdlib>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "etcd/source.h"
+#include "operator/file.h"
+#include "settings.h"
+#include "sidecar.h"
+#include "standins/client.h"
+#include "standins/clock.h"
+#include "standins/discovery.h"
+#include "standins/etcd/cluster.h"
+#include "standins/ledger.h"
+#include "standins/node.h"
+
+namespace ivypost::etcd {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using nlohmann::json;
+using standins::Effect;
+using standins::nowMicros;
+
+constexpr Micros kMs = 1000, kSecond = 1'000'000;
+// The times of the rules, with an allowance for a machine that stops the process now and then.
+constexpr Micros kGrace = 2 * kSecond, kSlack = kSecond / 2;
+
+standins::Rules rules() {
+  standins::Rules rules;
+  rules.drainGrace = kGrace;
+  rules.slack = kSlack;
+  return rules;
+}
+
+class MembershipPlay {
+ public:
+  explicit MembershipPlay(int nodeCount, std::size_t members = 3)
+      : ledger(rules()),
+        keys(600 * kMs),
+        discovery(io, ledger),
+        cluster({members, {}, "", "", "", "", "", 2}) {
+    for (int n = 0; n < nodeCount; ++n) {
+      standins::Node::Settings settings;
+      settings.id = "n" + std::to_string(n);
+      settings.model.cores = 4;
+      settings.idle = 0;
+      nodes.push_back(std::make_unique<standins::Node>(io, settings, ledger, keys));
+      addresses.push_back(nodes.back()->listen("s1"));
+      put(static_cast<std::size_t>(n));
+    }
+    file.membership.source = op::File::Membership::Source::Etcd;
+    for (std::size_t n = 0; n < members; ++n)
+      file.membership.etcd.endpoints.push_back("http://127.0.0.1:" + std::to_string(cluster.port(n)));
+  }
+
+  void start(const op::File& first) {
+    for (const char* name : {"GW_NAME", "GW_LISTEN", "GW_DISCOVERY"}) unsetenv(name);
+    sidecar = std::make_unique<Sidecar>(io, parseConfig(configuration().dump()), first, makeEtcd());
+    client = std::make_unique<standins::Client>(
+        io, tcp::endpoint(asio::ip::address_v4::loopback(), sidecar->port()), 1, 7, ledger);
+  }
+  static Sidecar::MakeEtcd makeEtcd() {
+    return [](asio::io_context& io, const Options& options, std::uint64_t seed,
+              membership::Source::Callbacks callbacks) -> std::unique_ptr<membership::Source> {
+      return std::make_unique<Source>(io, options, seed, std::move(callbacks), [](const std::string&) {});
+    };
+  }
+
+  std::string key(std::size_t n) const { return "/ivypost/nodes/" + nodes[n]->id(); }
+  std::string value(std::size_t n) const {
+    const json entry = {{"hostPort", "127.0.0.1:" + std::to_string(addresses[n].port())},
+                        {"zone", "oviedo-dc1"},
+                        {"lifecycle", "up"},
+                        {"startedAtMs", 0}};
+    return entry.dump();
+  }
+  void put(std::size_t n) {
+    ledger.told("s1", nodes[n]->id(), true, nowMicros());
+    cluster.put(key(n), value(n));
+  }
+  void remove(std::size_t n) {
+    cluster.remove(key(n));
+    ledger.told("s1", nodes[n]->id(), false, nowMicros());
+  }
+
+  void load(double rate) {
+    standins::Client::Load load;
+    load.rate = rate;
+    for (const auto& [name, effect] :
+         {std::pair("consulta", Effect::Safe), std::pair("reserva", Effect::Keyed),
+          std::pair("cambio", Effect::Unsafe)}) {
+      standins::Call call;
+      call.requestClass = name;
+      call.effect = effect;
+      call.tenant = "nalon";
+      load.shares.push_back({call, 1});
+    }
+    client->start(load);
+  }
+
+  void run(Micros span, const std::function<void()>& eachTurn = {}) {
+    const Micros end = nowMicros() + span;
+    while (nowMicros() < end) {
+      io.restart();
+      io.run_one_for(std::chrono::milliseconds(2));
+      if (eachTurn) eachTurn();
+    }
+  }
+  bool until(const std::function<bool()>& condition) {
+    const Micros end = nowMicros() + 60 * kSecond;
+    while (!condition() && nowMicros() < end) run(5 * kMs);
+    return condition();
+  }
+
+  std::string judged() {
+    ledger.settle(nowMicros() + 60 * kSecond);
+    std::string text;
+    for (const auto& breach : ledger.breaches()) {
+      text += "R" + std::to_string(breach.rule) + " " + breach.request + ": " + breach.what + "\n";
+      for (const auto& line : breach.story) text += "    " + line + "\n";
+    }
+    return text;
+  }
+
+  json configuration() {
+    const auto at = discovery.listen("s1");
+    const auto cls = [](const char* name, const char* semantics) {
+      return json{{"name", name}, {"aim", 500'000},  {"deadline", 1'000'000},    {"semantics", semantics},
+                  {"value", 1},   {"group", "cell"}, {"repeatWindow", 600 * kMs}};
+    };
+    return {{"name", "s1"},
+            {"listen", "127.0.0.1:0"},
+            {"discovery", "127.0.0.1:" + std::to_string(at.port())},
+            {"seed", "8c1f30d27a5be964"},
+            {"limits", {{"sockets", 256}}},
+            {"settings",
+             {{"balancers", 1},
+              {"classes", {cls("reserva", "guarded"), cls("cambio", "single_shot"), cls("consulta", "free")}},
+              {"projects", {{{"name", "nalon"}, {"share", 1.0}}}},
+              {"limits",
+               {{"connectTimeout", 250'000},
+                {"idleClose", 30'000'000},
+                {"maxAttempts", 3},
+                {"maxStreams", 1},
+                {"mayCancel", true}}},
+              {"report", {{"how", "none"}}},
+              {"contract", {{"stopSendingWithin", 2'000'000}}},
+              {"zones", {"oviedo-dc1"}},
+              {"locality", "oviedo-dc1"}}}};
+  }
+
+  asio::io_context io;
+  standins::Ledger ledger;
+  standins::KeyMemory keys;
+  standins::Discovery discovery;
+  standins::etcd::Cluster cluster;
+  std::vector<std::unique_ptr<standins::Node>> nodes;
+  std::vector<tcp::endpoint> addresses;
+  op::File file;
+  std::unique_ptr<Sidecar> sidecar;
+  std::unique_ptr<standins::Client> client;
+};
+
+// A removal whose last request is still waited for.
+struct Removal {
+  Micros at = 0, lastAt = 0;
+  std::uint64_t arrivals = 0;
+  bool over = false;
+};
+
+Micros playSeconds() {
+  const char* const text = std::getenv("IVYPOST_ETCD_SECONDS");
+  return text != nullptr ? std::max(1, std::atoi(text)) : 60;
+}
+
+TEST(EtcdMembership, NoRequestReachesARemovedNodeAfterTwoSeconds) {
+  constexpr std::size_t kNodes = 8;
+  MembershipPlay play(kNodes);
+  play.start(play.file);
+  ASSERT_TRUE(play.until([&] { return play.sidecar->freshness().sure; }));
+  play.load(300);
+  std::mt19937_64 random(20261201);
+  const auto pick = [&](std::size_t most) { return static_cast<std::size_t>(random() % most); };
+  std::vector<Removal> removals;
+  std::map<std::size_t, std::size_t> gone;  // by node, its removal
+  std::size_t sick = 0;                     // one member at a time
+  int fault = -1;
+  Micros faultUntil = 0, nextChange = 0;
+  std::uint64_t faults = 0;
+  using Switch = void (standins::etcd::Cluster::*)(std::size_t, bool);
+  const Switch switches[] = {&standins::etcd::Cluster::stall,        &standins::etcd::Cluster::withhold,
+                             &standins::etcd::Cluster::lag,          &standins::etcd::Cluster::refuse,
+                             &standins::etcd::Cluster::loseLeader,   &standins::etcd::Cluster::repeatEvents,
+                             &standins::etcd::Cluster::progressAhead};
+  play.run(playSeconds() * kSecond, [&] {
+    const Micros now = nowMicros();
+    for (auto& [node, number] : gone) {
+      Removal& removal = removals[number];
+      if (play.nodes[node]->arrivals() == removal.arrivals) continue;
+      removal.arrivals = play.nodes[node]->arrivals();
+      removal.lastAt = now;
+    }
+    if (now >= faultUntil) {
+      if (fault >= 0) (play.cluster.*switches[fault])(sick, false);
+      fault = -1;
+      faultUntil = now + static_cast<Micros>(pick(500)) * kMs;
+      const std::size_t what = pick(10);
+      sick = pick(3);
+      if (what < std::size(switches)) {
+        fault = static_cast<int>(what);
+        (play.cluster.*switches[fault])(sick, true);
+        faultUntil += static_cast<Micros>(200 + pick(2500)) * kMs;
+        ++faults;
+      } else if (what == 7) {
+        play.cluster.compact();
+      } else if (what == 8) {
+        for (std::size_t n = 0; n < 3; ++n) play.cluster.dropStreams(n);
+      } else {
+        play.cluster.cutFragment(sick);
+      }
+    }
+    if (now < nextChange) return;
+    nextChange = now + static_cast<Micros>(100 + pick(400)) * kMs;
+    const std::size_t node = pick(kNodes);
+    const auto found = gone.find(node);
+    if (found == gone.end() && gone.size() < kNodes / 2) {
+      play.remove(node);
+      gone[node] = removals.size();
+      removals.push_back({now, now, play.nodes[node]->arrivals(), false});
+    } else if (found != gone.end() && now - removals[found->second].at > kGrace + kSlack) {
+      play.put(node);
+      removals[found->second].over = true;
+      gone.erase(found);
+    }
+  });
+  play.client->stop();
+  play.run(2 * kSecond);
+  EXPECT_EQ(play.judged(), "");
+  std::vector<Micros> times;
+  for (const Removal& removal : removals) times.push_back(removal.lastAt - removal.at);
+  std::sort(times.begin(), times.end());
+  ASSERT_GE(times.size(), 5u);
+  const auto quantile = [&](double part) {
+    return static_cast<double>(
+               times[static_cast<std::size_t>(part * static_cast<double>(times.size() - 1))]) /
+           1000;
+  };
+  std::printf(
+      "%zu removals, %llu faults; removal to last request, ms: p50 %.1f p90 %.1f p99 %.1f most %.1f\n",
+      times.size(), static_cast<unsigned long long>(faults), quantile(0.5), quantile(0.9), quantile(0.99),
+      quantile(1));
+  const auto& tally = play.ledger.tally();
+  std::printf("%llu requests, %llu served, %llu refused, %llu failed\n",
+              static_cast<unsigned long long>(tally.sent), static_cast<unsigned long long>(tally.served),
+              static_cast<unsigned long long>(tally.refused), static_cast<unsigned long long>(tally.failed));
+  EXPECT_LT(times.back(), kGrace + kSlack);
+  EXPECT_GT(static_cast<double>(tally.served), 0.99 * static_cast<double>(tally.sent));
+}
+
+// From the platform's discovery to etcd and back while requests go on; a new source that can't be reached
+// leaves the old one in charge, and one that can't be made changes nothing.
+TEST(EtcdMembership, TheSourceIsChangedWithoutAGap) {
+  MembershipPlay play(4);
+  for (std::size_t n = 0; n < 3; ++n) {
+    standins::Discovery::Entry entry;
+    entry.id = play.nodes[n]->id();
+    entry.addresses[""] = play.addresses[n];
+    play.discovery.put(entry);
+  }
+  play.start({});
+  ASSERT_TRUE(play.until([&] { return play.discovery.calls() > 1; }));
+  play.load(200);
+  play.run(300 * kMs);
+  EXPECT_EQ(play.nodes[3]->arrivals(), 0u) << "only etcd knows it";
+  const auto config = parseConfig(play.configuration().dump());
+  op::File away = play.file;
+  away.membership.etcd.endpoints = {"http://127.0.0.1:1"};
+  play.sidecar->reload(config, away);
+  play.run(500 * kMs);
+  EXPECT_EQ(play.nodes[3]->arrivals(), 0u);
+  op::File bad = play.file;
+  bad.membership.etcd.ca = "/nowhere";
+  bad.membership.etcd.endpoints = {"https://127.0.0.1:1"};
+  EXPECT_THROW(play.sidecar->reload(config, bad), orchiddrum::FormatError);
+  play.sidecar->reload(config, play.file);
+  EXPECT_TRUE(play.until([&] { return play.nodes[3]->arrivals() > 0; })) << "etcd counts now";
+  // Back: the node that discovery has not got is gone.
+  play.sidecar->reload(config, {});
+  play.ledger.told("s1", "n3", false, nowMicros());
+  play.run(3 * kSecond);
+  play.client->stop();
+  play.run(2 * kSecond);
+  EXPECT_EQ(play.judged(), "");
+  EXPECT_EQ(play.ledger.tally().served, play.ledger.tally().sent);
+}
+
+// A program that is built without it says so in one line.
+TEST(EtcdMembership, NeedsTheProgramThatHasIt) {
+  MembershipPlay play(1);
+  try {
+    const Sidecar sidecar(play.io, parseConfig(play.configuration().dump()), play.file);
+    FAIL();
+  } catch (const orchiddrum::FormatError& error) {
+    EXPECT_NE(std::string(error.what()).find("ivypost-etcd"), std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace ivypost::etcd
