Sidecars find each other by SWIM with Lifeguard, and know when they are deaf

Need: each sidecar learns alone today; what they tell each other stands on knowing who is there. src/peers is that part, not wired to the program yet: messages of 256 bytes at the most with a version, sections and a keyed seal (BLAKE2b by libsodium), a replay window (RFC 4303), the members as a state machine without I/O, clock or chance of its own, and its Asio side.

Deafness is computed from when the last answered ping was written, so a stopped process is deaf before it has read anything, and answers that waited in the kernel change nothing. One change to Lifeguard: missing nacks count only where all relays are silent. Counted one by one they took a half of 12 to the longest period in a partition, and the other half was not found missing within 10 s; now within 10 s.

Tests on made-up time: 2 to 300 sidecars, loss of 1 to 10% (none buried), halves, one-way silence, stops of 5 and 30 s, seeds away for a minute, a name back in 100 ms, a clock set back, two with one name.

--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -2,7 +2,7 @@
 # Installs from Debian's packages what is missing to build and test: `packages.sh build` for the programs and
 # tools, `packages.sh tests` for the tests and checks too. Needs root only when something is missing.
 set -euo pipefail
-packages="g++ cmake make libboost-dev nlohmann-json3-dev libtomlplusplus-dev libcli11-dev"
+packages="g++ cmake make libboost-dev nlohmann-json3-dev libtomlplusplus-dev libcli11-dev libsodium-dev"
 case "${1:-build}" in
   build) ;;
   tests) packages="$packages git ccache libgtest-dev librapidcheck-dev libgrpc++-dev protobuf-compiler protobuf-compiler-grpc libprotobuf-dev clang-format clang-tidy" ;;
--- /dev/null
+++ b/src/peers/options.h
@@ -0,0 +1,39 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// [peers] of the operator's file, as it stands there, and what it comes to for one sidecar.
+#ifndef IVYPOST_PEERS_OPTIONS_H_
+#define IVYPOST_PEERS_OPTIONS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "peers/members.h"
+
+namespace ivypost::peers {
+
+constexpr std::size_t kMaxSeeds = 64;
+
+struct Options {
+  bool on = false;
+  std::string address, listen;     // empty: the platform's; `listen` empty: `address`
+  std::vector<std::string> seeds;  // empty: the platform's
+  std::string keyFile;
+  std::int64_t sidecars = 0;  // 0: as many as the platform says
+  std::int64_t period = Settings{}.period;
+  std::int64_t timeout = Settings{}.timeout;
+  std::int64_t deafAfter = Settings{}.deafAfter;
+  double deafPart = Settings{}.deafPart;
+  bool operator==(const Options&) const = default;
+};
+
+// "10.0.0.4:7946"; none: it is no IPv4 address and port.
+std::optional<Address> parseAddress(const std::string& text);
+
+// What makes them unfit for use by themselves, one line that names the key; none: nothing.
+std::optional<std::string> flawOf(const Options& options);
+
+}  // namespace ivypost::peers
+
+#endif  // IVYPOST_PEERS_OPTIONS_H_
--- /dev/null
+++ b/src/peers/peers_io.h
@@ -0,0 +1,87 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// Carries the membership of sidecars out over UDP: one socket, one timer. What is decided is Members'.
+//
+// Threads: everything on the io_context's one thread. Bounds: a datagram is 256 bytes at the most; of those
+// that come, kMostInTick are looked at in each kTick, and what is beyond waits in the kernel or is lost
+// there.
+#ifndef IVYPOST_PEERS_PEERS_IO_H_
+#define IVYPOST_PEERS_PEERS_IO_H_
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "peers/members.h"
+#include "peers/seal.h"
+
+namespace ivypost::peers {
+
+class PeersIo {
+ public:
+  static constexpr Micros kTick = 100'000;
+  static constexpr std::uint32_t kMostInTick = 250;
+
+  struct Callbacks {
+    // Facts for a message, of so many bytes at the most.
+    std::function<std::vector<std::uint8_t>(std::size_t room)> tell;
+    // Facts of an answer, that were on the way for so long at the most. False: they are none.
+    std::function<bool(std::span<const std::uint8_t> facts, Micros late)> told;
+    std::function<void(const Change&)> changed;
+    std::function<void(const std::string& line)> log;
+  };
+  struct Counts {
+    std::uint64_t sent = 0, sentBytes = 0, received = 0, receivedBytes = 0;
+    std::uint64_t unsealed = 0;  // not from this key, or of no allowed length
+    std::uint64_t malformed = 0, replayed = 0;
+    std::uint64_t unsent = 0;  // the system would not take them
+  };
+
+  // `listen`: where to bind; tried again each second while it is taken, as while a process is replaced.
+  PeersIo(boost::asio::io_context& io, const Settings& settings, const Address& listen, Seal seal,
+          std::uint64_t seed, Callbacks callbacks);
+  PeersIo(const PeersIo&) = delete;
+  PeersIo& operator=(const PeersIo&) = delete;
+
+  // This sidecar ends. Nothing is sent after it.
+  void leave();
+
+  const Members& members() const { return members_; }
+  const Counts& counts() const { return counts_; }
+  bool listens() const { return socket_.is_open(); }
+  std::uint16_t port() const { return socket_.local_endpoint().port(); }
+
+ private:
+  void open();
+  void receive();
+  void read();
+  void take(std::size_t length);
+  void arm();
+  void ticked();
+  void send(std::vector<Outgoing>& out);
+  void complain(const char* what);
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::udp::endpoint listen_;
+  Seal seal_;
+  Callbacks callbacks_;
+  Members members_;
+  boost::asio::ip::udp::socket socket_;
+  boost::asio::steady_timer timer_, openTimer_, pause_;
+  boost::asio::ip::udp::endpoint from_;
+  std::array<std::uint8_t, kMaxDatagram + 1> buffer_{};
+  Counts counts_;
+  Micros slice_ = 0, complainedAt_ = 0;
+  std::uint32_t inSlice_ = 0;
+  bool openFailed_ = false;
+};
+
+}  // namespace ivypost::peers
+
+#endif  // IVYPOST_PEERS_PEERS_IO_H_
--- a/tests/many_test.cpp
+++ b/tests/many_test.cpp
@@ -307,7 +307,8 @@
   EXPECT_EQ(rig.balancer.openRequests(), 0u);
 }
 
-// Found on a calm fleet of 12: a request that had met three busy ones, all with room, was refused for the fourth.
+// Found on a calm fleet of 12: a request that had met three busy ones, all with room, was refused for the
+// fourth.
 TEST(Looks, OneCrowdedAmongBusyOnesIsNoRefusal) {
   for (int crowdedAt = 0; crowdedAt < 4; ++crowdedAt) {
     Rig rig(lookingSettings());
--- /dev/null
+++ b/tests/peers/members_test.cpp
@@ -0,0 +1,244 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+#include "peers/members.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+
+#include "peers/net.h"
+
+namespace ivypost::peers {
+namespace {
+
+void startAll(Net& net, std::size_t count) {
+  for (std::size_t n = 0; n < count; ++n) net.start(n, static_cast<std::uint32_t>(count));
+}
+
+bool allHear(Net& net, std::size_t count) {
+  return net.all([&](Members& one) { return one.heard() == count && !one.deaf(net.now); });
+}
+
+TEST(Members, FindEachOtherAndTakeTurnsTheSameWay) {
+  Net net(1);
+  startAll(net, 12);
+  EXPECT_TRUE(net.at(5).deaf(net.now)) << "before anybody was heard";
+  ASSERT_TRUE(net.until([&] { return allHear(net, 12); }, 10 * kSecond));
+  std::map<PeerId, int> turns;
+  for (std::uint64_t thing = 1; thing <= 600; ++thing) {
+    const PeerId turn = net.at(0).turnAt(thing);
+    EXPECT_TRUE(net.all([&](Members& one) { return one.turnAt(thing) == turn; }));
+    ++turns[turn];
+  }
+  EXPECT_EQ(turns.size(), 12u);
+  for (const auto& [id, count] : turns) EXPECT_LT(count, 100);  // 50 each, and chance
+}
+
+TEST(Members, LearnOfADeathWithinItsTimeAndHandTheTurnsOn) {
+  for (const std::size_t count : {2, 3, 12, 48}) {
+    Net net(count);
+    startAll(net, count);
+    ASSERT_TRUE(net.until([&] { return allHear(net, count); }, 20 * kSecond)) << count;
+    const PeerId gone = Net::idAt(1);
+    net.kill(1);
+    // A probe of each within so many periods, then a suspicion; with few witnesses the longest.
+    ASSERT_TRUE(
+        net.until([&] { return net.all([&](Members& one) { return !one.isHeard(gone); }); }, 20 * kSecond))
+        << count;
+    for (std::uint64_t thing = 1; thing <= 100; ++thing)
+      EXPECT_TRUE(net.all([&](Members& one) { return one.turnAt(thing) != gone; }));
+  }
+}
+
+// Nobody is declared dead for loss alone, at a rate that a network may have.
+TEST(Members, SuspectFewForLossAndBuryNone) {
+  for (const double loss : {0.01, 0.05, 0.1}) {
+    Net net(7);
+    startAll(net, 24);
+    ASSERT_TRUE(net.until([&] { return allHear(net, 24); }, 20 * kSecond));
+    net.all([](Members& one) { return one.takeChanges(), true; });
+    net.faults.loss = loss;
+    net.faults.doubled = 0.1;
+    net.faults.jitter = 30 * kMs;
+    net.run(60 * kSecond);
+    int dead = 0;
+    net.all([&](Members& one) {
+      for (const Change& change : one.takeChanges()) dead += change.state == State::Dead;
+      return true;
+    });
+    EXPECT_EQ(dead, 0) << loss;
+  }
+}
+
+// Half cannot be heard by the other half for 10 s: each side goes on by itself, and they find each other
+// again.
+TEST(Members, TwoHalvesPartAndComeTogether) {
+  Net net(3);
+  startAll(net, 12);
+  ASSERT_TRUE(net.until([&] { return allHear(net, 12); }, 10 * kSecond));
+  net.faults.passes = [](std::size_t from, std::size_t to) { return from % 2 == to % 2; };
+  ASSERT_TRUE(
+      net.until([&] { return net.all([](Members& one) { return one.heard() == 6; }); }, 10 * kSecond));
+  EXPECT_TRUE(net.all([&](Members& one) { return !one.deaf(net.now); })) << "half is not too few";
+  EXPECT_EQ(net.at(0).turnAt(99), net.at(2).turnAt(99));
+  net.faults.passes = nullptr;
+  EXPECT_TRUE(net.until([&] { return allHear(net, 12); }, 8 * kSecond));
+}
+
+// One that can send but hears nothing, one that hears but cannot send, and one that hears only one other.
+TEST(Members, KnowThatTheyAreDeafByTheirOwnClock) {
+  const struct {
+    const char* what;
+    std::function<bool(std::size_t, std::size_t)> passes;
+    bool deaf;
+  } rows[] = {
+      {"hears nothing", [](std::size_t, std::size_t to) { return to != 4; }, true},
+      {"cannot send", [](std::size_t from, std::size_t) { return from != 4; }, true},
+      {"hears only one", [](std::size_t from, std::size_t to) { return to != 4 || from == 5; }, true},
+      {"one cannot hear it", [](std::size_t from, std::size_t to) { return from != 4 || to != 5; }, false},
+  };
+  for (const auto& row : rows) {
+    Net net(11);
+    startAll(net, 12);
+    ASSERT_TRUE(net.until([&] { return allHear(net, 12); }, 10 * kSecond));
+    net.faults.passes = row.passes;
+    // Either no answer at all for deafAfter, or too few of the others are left for as long.
+    net.until([&] { return net.at(4).deaf(net.now); }, 40 * kSecond);
+    EXPECT_EQ(net.at(4).deaf(net.now), row.deaf) << row.what;
+    for (std::size_t n = 0; n < 12; ++n)
+      EXPECT_FALSE(n != 4 && net.at(n).deaf(net.now)) << row.what << " " << n;
+  }
+}
+
+// After a stop of the process it is deaf before it has read anything, and answers that have waited in the
+// kernel meanwhile do not change that.
+TEST(Members, AreDeafRightAfterAStop) {
+  for (const Micros stop : {5 * kSecond, 30 * kSecond}) {
+    Net net(5);
+    startAll(net, 12);
+    ASSERT_TRUE(net.until([&] { return allHear(net, 12); }, 10 * kSecond));
+    for (std::size_t n = 0; n < 4; ++n) net.pause(n);
+    net.run(stop);
+    for (std::size_t n = 0; n < 4; ++n) EXPECT_TRUE(net.at(n).deaf(net.now)) << n;
+    net.all([](Members& one) { return one.takeChanges(), true; });
+    for (std::size_t n = 0; n < 4; ++n) net.resume(n);
+    for (std::size_t n = 0; n < 4; ++n) EXPECT_TRUE(net.at(n).deaf(net.now)) << n << " by old answers";
+    EXPECT_TRUE(net.until([&] { return allHear(net, 12); }, 5 * kSecond)) << stop;
+    // Those who were stopped bury nobody for it.
+    std::set<PeerId> stopped;
+    for (std::size_t n = 0; n < 4; ++n) stopped.insert(Net::idAt(n));
+    for (std::size_t n = 0; n < 12; ++n)
+      for (const Change& change : net.at(n).takeChanges())
+        EXPECT_TRUE(change.state != State::Dead || stopped.count(change.id) > 0);
+  }
+}
+
+TEST(Members, AllStartAtOnceWithoutSeedsForAMinute) {
+  Net net(9);
+  startAll(net, 12);
+  net.faults.passes = [](std::size_t, std::size_t to) { return to > 2; };  // the seeds hear nobody
+  net.run(60 * kSecond);
+  EXPECT_TRUE(net.all([&](Members& one) { return one.deaf(net.now); }));
+  net.faults.passes = nullptr;
+  EXPECT_TRUE(net.until([&] { return allHear(net, 12); }, 10 * kSecond));
+}
+
+// A restart under the same name, also with a clock that was set back.
+TEST(Members, ANameComesBackInAHundredMilliseconds) {
+  for (const std::uint64_t incarnation : {std::uint64_t{0}, std::uint64_t{1}}) {
+    Net net(13);
+    startAll(net, 6);
+    ASSERT_TRUE(net.until([&] { return allHear(net, 6); }, 10 * kSecond));
+    net.kill(3);
+    net.run(100 * kMs);
+    net.start(3, 6, [&](Settings& s) {
+      if (incarnation > 0) s.incarnation = incarnation;
+    });
+    EXPECT_TRUE(net.until([&] { return allHear(net, 6); }, 5 * kSecond)) << incarnation;
+    net.run(10 * kSecond);
+    EXPECT_TRUE(allHear(net, 6)) << incarnation;
+  }
+}
+
+TEST(Members, TwoProcessesWithOneNameBothTakeThemselvesForDeaf) {
+  Net net(17);
+  startAll(net, 6);
+  ASSERT_TRUE(net.until([&] { return allHear(net, 6); }, 10 * kSecond));
+  net.start(6, 6, [](Settings& s) { s.self = Net::idAt(2); });
+  ASSERT_TRUE(net.until([&] { return net.at(2).twin(net.now) && net.at(6).twin(net.now); }, 10 * kSecond));
+  EXPECT_TRUE(net.at(2).deaf(net.now));
+  EXPECT_TRUE(net.at(6).deaf(net.now));
+  EXPECT_FALSE(net.at(0).deaf(net.now));
+  net.kill(6);
+  EXPECT_TRUE(net.until([&] { return allHear(net, 6); }, 20 * kSecond));
+}
+
+TEST(Members, WhoLeavesIsMissedByNobody) {
+  Net net(19);
+  startAll(net, 12);
+  ASSERT_TRUE(net.until([&] { return allHear(net, 12); }, 10 * kSecond));
+  for (std::size_t n = 4; n < 12; ++n) {
+    std::vector<Outgoing> out;
+    net.at(n).leave(out);
+    for (const Outgoing& one : out) net.inject(one.to.ip - Net::addressOf(0).ip, one.message);
+    net.kill(n);
+  }
+  EXPECT_TRUE(net.until([&] { return allHear(net, 4); }, 3 * kSecond));
+  EXPECT_DOUBLE_EQ(net.at(0).part(), 1.0);
+}
+
+// What one sends a second does not grow with the fleet; S wrong by four times either way changes nothing.
+TEST(Members, BytesASecondStayWithinTheirBound) {
+  std::map<std::size_t, double> bytes;
+  for (const std::size_t count : {2, 12, 48, 300}) {
+    Net net(count);
+    for (std::size_t n = 0; n < count; ++n)
+      net.start(n, static_cast<std::uint32_t>(n % 2 == 0 ? 4 * count : (count + 3) / 4));
+    ASSERT_TRUE(net.until([&] { return allHear(net, count); }, 120 * kSecond, kSecond)) << count;
+    net.sentBytes = 0;
+    net.run(10 * kSecond);
+    bytes[count] = static_cast<double>(net.sentBytes) / static_cast<double>(count) / 10;
+  }
+  for (const auto& [count, each] : bytes) EXPECT_LT(each, 2500) << count;
+  EXPECT_LT(bytes[300], 2 * bytes[12]);
+}
+
+// The table's bound, and that what is beyond it does no harm.
+TEST(Members, TakeNoMoreThanTheTableHolds) {
+  Settings settings;
+  settings.self = 1;
+  Members members(settings, 1, 0);
+  std::vector<Outgoing> out;
+  Message message;
+  message.kind = Kind::Nack;
+  for (std::size_t n = 0; n < kMaxMembers + 10; ++n) {
+    message.sender = 2 + n;
+    message.sequence = 1;
+    EXPECT_EQ(members.receive(message, 0, out), n < kMaxMembers);
+  }
+  EXPECT_EQ(members.known(), kMaxMembers);
+}
+
+TEST(Members, AReplayIsDroppedAndWhatAnswersNothingIsNotHeard) {
+  Settings settings;
+  settings.self = 1;
+  Members members(settings, 1, 0);
+  std::vector<Outgoing> out;
+  Message message;
+  message.kind = Kind::Ping;
+  message.sender = 2;
+  message.sequence = 5;
+  EXPECT_TRUE(members.receive(message, 0, out));
+  EXPECT_EQ(out.size(), 1u);
+  EXPECT_FALSE(members.receive(message, 0, out)) << "a replay";
+  EXPECT_EQ(out.size(), 1u);
+  message.kind = Kind::Ack;
+  message.sequence = 6;
+  message.nonce = 12345;
+  EXPECT_FALSE(members.asked(message, 0));
+  EXPECT_TRUE(members.receive(message, 0, out));
+  EXPECT_TRUE(members.deaf(0)) << "an ack that nobody asked for";
+}
+
+}  // namespace
+}  // namespace ivypost::peers
--- /dev/null
+++ b/tests/peers/message_test.cpp
@@ -0,0 +1,130 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+#include "peers/message.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "peers/options.h"
+#include "peers/replay_window.h"
+
+namespace ivypost::peers {
+namespace {
+
+Update someUpdate(std::uint64_t number) {
+  return {number + 1, 3 * number, {0x0a000001, 7946}, static_cast<State>(number % 3), number};
+}
+
+Message someMessage(Kind kind, std::size_t updates, std::size_t facts) {
+  Message message;
+  message.kind = kind;
+  message.sender = idOf("s1");
+  message.incarnation = 1'790'000'000'000;
+  message.address = {0x7f000001, 1};
+  message.sequence = 77;
+  message.nonce = 0xfffffffe;
+  if (kind == Kind::Relay) message.target = someUpdate(9);
+  for (std::size_t n = 0; n < updates; ++n) message.updates.push_back(someUpdate(n));
+  message.facts.assign(facts, 0xab);
+  return message;
+}
+
+TEST(Messages, ComeBackAsTheyWereAndFitTheDatagram) {
+  for (const Kind kind : {Kind::Ping, Kind::Ack, Kind::Relay, Kind::Nack}) {
+    for (std::size_t updates = 0; updates <= kMaxUpdates; ++updates) {
+      for (const std::size_t facts :
+           {std::size_t{0}, std::size_t{1}, roomForFacts(updates, kind == Kind::Relay)}) {
+        const Message message = someMessage(kind, updates, facts);
+        const auto bytes = encode(message);
+        EXPECT_LE(bytes.size() + kSealBytes, kMaxDatagram);
+        const auto back = decode(bytes);
+        ASSERT_TRUE(back) << updates << " " << facts;
+        EXPECT_EQ(back->updates, message.updates);
+        EXPECT_EQ(back->facts, message.facts);
+        EXPECT_EQ(back->target, message.target);
+        EXPECT_EQ(back->sequence, message.sequence);
+        EXPECT_EQ(back->nonce, message.nonce);
+        EXPECT_EQ(back->incarnation, message.incarnation);
+        EXPECT_EQ(back->address, message.address);
+      }
+    }
+  }
+}
+
+// Six updates are asked for, and facts for which no room is left.
+TEST(Messages, LeaveOutWhatDoesNotFit) {
+  const auto bytes = encode(someMessage(Kind::Ping, 6, 200));
+  EXPECT_LE(bytes.size() + kSealBytes, kMaxDatagram);
+  const auto back = decode(bytes);
+  ASSERT_TRUE(back);
+  EXPECT_EQ(back->updates.size(), kMaxUpdates);
+  EXPECT_TRUE(back->facts.empty());
+}
+
+TEST(Messages, SkipASectionOfAnUnknownTag) {
+  auto bytes = encode(someMessage(Kind::Ack, 1, 0));
+  bytes.insert(bytes.end(), {200, 3, 1, 2, 3});
+  const auto back = decode(bytes);
+  ASSERT_TRUE(back);
+  EXPECT_EQ(back->updates.size(), 1u);
+}
+
+TEST(Messages, AreRefusedWhereTheyAreNone) {
+  const auto good = encode(someMessage(Kind::Relay, 2, 0));
+  ASSERT_TRUE(decode(good));
+  for (std::size_t length = 0; length < good.size(); ++length) {
+    // Cut between two sections, the target's and the updates', it is whole but for the updates.
+    const bool whole = length == kHeaderBytes + 2 + kUpdateBytes;
+    EXPECT_EQ(decode(std::span(good).first(length)).has_value(), whole) << length;
+  }
+  const struct {
+    const char* what;
+    std::size_t at;
+    std::uint8_t value;
+  } rows[] = {{"version", 0, 2},
+              {"kind 0", 1, 0},
+              {"kind 5", 1, 5},
+              {"a ping with a target", 1, 1},
+              {"a state", kHeaderBytes + 2 + 22, 3},
+              {"a section over the end", kHeaderBytes + 1, 255}};
+  for (const auto& row : rows) {
+    auto bytes = good;
+    bytes[row.at] = row.value;
+    EXPECT_FALSE(decode(bytes)) << row.what;
+  }
+}
+
+// Bytes that nobody wrote for it: what is read fits into a message again.
+RC_GTEST_PROP(Messages, ReadAnyBytesWithoutHarm, (std::vector<std::uint8_t> bytes)) {
+  if (bytes.size() > 2) bytes[0] = kVersion, bytes[1] = static_cast<std::uint8_t>(1 + bytes[1] % 4);
+  const auto message = decode(bytes);
+  if (message) RC_ASSERT(encode(*message).size() + kSealBytes <= kMaxDatagram);
+}
+
+TEST(Addresses, AreReadAndWritten) {
+  for (const char* text : {"0.0.0.0:0", "127.0.0.1:7946", "255.255.255.255:65535"}) {
+    const auto address = parseAddress(text);
+    ASSERT_TRUE(address) << text;
+    EXPECT_EQ(format(*address), text);
+  }
+  for (const char* text : {"", "1.2.3.4", "1.2.3:80", "256.1.1.1:80", "1.2.3.4:65536", "1.2.3.4:80 ",
+                           "a.b.c.d:1", "1.2.3.4:", "-1.2.3.4:5", "[::1]:80"})
+    EXPECT_FALSE(parseAddress(text)) << text;
+}
+
+// RFC 4303, 3.4.3: against a set of all that was taken.
+RC_GTEST_PROP(ReplayWindow, TakesEachOnceAndNoneFromBehindIt, (std::vector<std::uint8_t> steps)) {
+  ReplayWindow window;
+  std::vector<std::uint64_t> taken;
+  std::uint64_t highest = 0;
+  for (const std::uint8_t step : steps) {
+    const std::uint64_t sequence = step + highest / 2 + 1;
+    const bool seen = std::find(taken.begin(), taken.end(), sequence) != taken.end();
+    const bool behind = sequence + ReplayWindow::kWidth <= highest;
+    RC_ASSERT(window.take(sequence) == (!seen && !behind));
+    if (!seen && !behind) taken.push_back(sequence);
+    highest = std::max(highest, sequence);
+  }
+}
+
+}  // namespace
+}  // namespace ivypost::peers
--- /dev/null
+++ b/tests/peers/net.h
@@ -0,0 +1,168 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// Many sidecars' membership on made-up time, over a network that loses, doubles, delays and reorders by one
+// seed.
+#ifndef IVYPOST_TESTS_PEERS_NET_H_
+#define IVYPOST_TESTS_PEERS_NET_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "peers/members.h"
+
+namespace ivypost::peers {
+
+constexpr Micros kMs = 1'000, kSecond = 1'000'000;
+
+class Net {
+ public:
+  struct Faults {
+    double loss = 0, doubled = 0;
+    Micros delay = 500, jitter = 1500;
+    // Whether a datagram from one to another gets through; empty: yes.
+    std::function<bool(std::size_t from, std::size_t to)> passes;
+  } faults;
+  std::uint64_t sentBytes = 0, sent = 0;
+  Micros now = 1000 * kSecond;
+
+  explicit Net(std::uint64_t seed) : random_(seed) {}
+
+  static Address addressOf(std::size_t number) {
+    return {0x0a000001 + static_cast<std::uint32_t>(number), 7946};
+  }
+  static PeerId idAt(std::size_t number) { return idOf("s" + std::to_string(number)); }
+
+  // Starts this one, or starts it anew in another life.
+  Members& start(std::size_t number, std::uint32_t expected,
+                 const std::function<void(Settings&)>& change = {}) {
+    if (number >= nodes_.size()) nodes_.resize(number + 1);
+    Settings settings;
+    settings.self = idAt(number);
+    settings.address = addressOf(number);
+    settings.incarnation = static_cast<std::uint64_t>(now / 1000);
+    settings.seeds = {addressOf(0), addressOf(1), addressOf(2)};
+    settings.expected = expected;
+    if (change) change(settings);
+    Node& node = nodes_[number];
+    node.members = std::make_unique<Members>(settings, random_(), now);
+    node.waiting.clear();
+    node.paused = false;
+    ++node.life;
+    wake(number);
+    return *node.members;
+  }
+  void kill(std::size_t number) {
+    nodes_[number].members.reset();
+    ++nodes_[number].life;
+  }
+  // As SIGSTOP and SIGCONT: what comes meanwhile waits in the kernel, some of it.
+  void pause(std::size_t number) { nodes_[number].paused = true; }
+  void resume(std::size_t number) {
+    Node& node = nodes_[number];
+    node.paused = false;
+    std::vector<Outgoing> out;
+    for (const Message& message : std::exchange(node.waiting, {})) node.members->receive(message, now, out);
+    carry(number, out);
+    wake(number);
+  }
+  Members& at(std::size_t number) { return *nodes_[number].members; }
+  bool runs(std::size_t number) const { return number < nodes_.size() && nodes_[number].members != nullptr; }
+  std::size_t count() const { return nodes_.size(); }
+  void inject(std::size_t to, const Message& message) { deliver(to, message); }
+
+  void run(Micros span) {
+    const Micros end = now + span;
+    while (!events_.empty() && events_.top().at <= end) {
+      Event event = events_.top();
+      events_.pop();
+      now = std::max(now, event.at);
+      if (event.message != nullptr) {
+        deliver(event.to, *event.message);
+      } else if (runs(event.to) && event.life == nodes_[event.to].life && !nodes_[event.to].paused) {
+        std::vector<Outgoing> out;
+        at(event.to).tick(now, out);
+        carry(event.to, out);
+        wake(event.to);
+      }
+    }
+    now = end;
+  }
+  // Runs until it holds everywhere that something runs; false if not within this time.
+  bool until(const std::function<bool()>& holds, Micros atMost, Micros step = 50 * kMs) {
+    for (const Micros end = now + atMost; now < end; run(step))
+      if (holds()) return true;
+    return holds();
+  }
+  bool all(const std::function<bool(Members&)>& holds) {
+    for (std::size_t n = 0; n < count(); ++n)
+      if (runs(n) && !nodes_[n].paused && !holds(at(n))) return false;
+    return true;
+  }
+
+ private:
+  struct Node {
+    std::unique_ptr<Members> members;
+    std::uint32_t life = 0;
+    bool paused = false;
+    std::deque<Message> waiting;
+  };
+  struct Event {
+    Micros at = 0;
+    std::uint64_t order = 0;
+    std::size_t to = 0;
+    std::uint32_t life = 0;
+    std::shared_ptr<const Message> message;  // none: a tick
+    bool operator<(const Event& other) const {
+      return std::pair(at, order) > std::pair(other.at, other.order);
+    }
+  };
+  static constexpr std::size_t kKernelHolds = 200;
+
+  double uniform() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
+  void wake(std::size_t number) {
+    events_.push({std::max(now + 1, at(number).next()), ++order_, number, nodes_[number].life, nullptr});
+  }
+  void deliver(std::size_t to, const Message& message) {
+    if (!runs(to)) return;
+    Node& node = nodes_[to];
+    if (node.paused) {
+      if (node.waiting.size() < kKernelHolds) node.waiting.push_back(message);
+      return;
+    }
+    std::vector<Outgoing> out;
+    node.members->receive(message, now, out);
+    carry(to, out);
+  }
+  void carry(std::size_t from, std::vector<Outgoing>& out) {
+    for (Outgoing& one : out) {
+      ++sent;
+      const auto bytes = encode(one.message);
+      sentBytes += bytes.size() + kSealBytes;
+      const auto to = static_cast<std::size_t>(one.to.ip - addressOf(0).ip);
+      if (to >= nodes_.size() || (faults.passes && !faults.passes(from, to))) continue;
+      const auto message = std::make_shared<const Message>(*decode(bytes));
+      for (int copies = uniform() < faults.doubled ? 2 : 1; copies > 0; --copies) {
+        if (uniform() < faults.loss) continue;
+        const auto late = faults.delay + static_cast<Micros>(uniform() * static_cast<double>(faults.jitter));
+        events_.push({now + late, ++order_, to, 0, message});
+      }
+    }
+  }
+
+  std::mt19937_64 random_;
+  std::vector<Node> nodes_;
+  std::priority_queue<Event> events_;
+  std::uint64_t order_ = 0;
+};
+
+}  // namespace ivypost::peers
+
+#endif  // IVYPOST_TESTS_PEERS_NET_H_
