--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -130,9 +130,6 @@
 
 constexpr double kMaxAimStretch = 1e6;  // far above any sensible setting
 
-// Shedding is over, for the log, when nothing was turned away unsent for this long.
-constexpr Micros kSheddingOver = 5'000'000;
-
 bool provesNeverRan(Outcome outcome) {
   return outcome == Outcome::Full || outcome == Outcome::ConnectFailed || outcome == Outcome::Moot;
 }
@@ -149,7 +146,6 @@
   double coldCredit = 0;
   double logSlowness = 0;  // smoothed, of answer times against the usual of their class
   Micros slownessAt = 0;
-  Micros reportedAt = 0;
   bool reported = false;                                    // ever, what it has in hand
   std::optional<double> cpuShare;                           // as it last reported
   Micros shortestLag = std::numeric_limits<Micros>::max();  // of its answers
@@ -272,10 +268,6 @@
     blind_ = seesLittle();
     std::visit([this](const auto& e) { on(e); }, event);
     serveHeld();
-    if (shedding_ && now_ - shedAt_ > kSheddingOver) {
-      shedding_ = false;
-      act(Log{"shedding is over"});
-    }
     armTimer();
   }
 
@@ -396,12 +388,6 @@
     upstream.slownessAt = now_;
   }
 
-  // Guards against crowded upstreams that a blind sidecar's own outcomes are too few to tell.
-  double spareCpu(const Upstream& upstream) const {
-    return upstream.cpuShare && blind_ ? 1 - *upstream.cpuShare * kept(upstream.reportedAt, kSlownessMemory)
-                                       : 1;
-  }
-
   // Guards against an own zone that has more traffic than it can carry: the less CPU its upstreams report
   // spare, the less it is preferred.
   double zoneOdds(const Upstream& upstream) const {
@@ -416,9 +402,6 @@
     const Upstream& upstream = upstreams_[id];
     const double speed = upstream.size / meanSize_ / std::sqrt(slowness(upstream));
     double bend = std::pow(speed, std::sqrt(request.heaviness));
-    bend *= spareCpu(upstream);
-    // Guards against new connections that fail or come late while open ones serve.
-    if (!reuses(upstream)) bend *= 1 - connectFailures_ * kept(connectedAt_, kSlownessMemory);
     bend = std::clamp(bend, 1 / kMaxBias, kMaxBias);
     return bend * zoneOdds(upstream);
   }
@@ -736,9 +719,6 @@
         outcome == Outcome::Moot)
       return;
     if (!failed) ++upstream.connections;
-    connectFailures_ *= kept(connectedAt_, kSlownessMemory);
-    smooth(connectFailures_, failed ? 1 : 0, kFailureGain);
-    connectedAt_ = now_;
   }
 
   // How many more the home has room for.
@@ -904,11 +884,6 @@
   void answer(RequestId id, Request& request) {
     const Permission may = permission(request);
     if (!may.refuse && !may.fail) return;
-    if (request.attempts.empty()) {
-      if (!shedding_) act(Log{"shedding load: nobody is ready in time for all requests"});
-      shedding_ = true;
-      shedAt_ = now_;
-    }
     may.refuse ? act(Refuse{id, comeBack()}) : act(Fail{id});
     close(id, request);
   }
@@ -1078,7 +1053,6 @@
   void learnReport(Upstream& upstream, const LoadReport& report) {
     if (report.cpuShare) {
       upstream.cpuShare = within(*report.cpuShare, 0, 1);
-      upstream.reportedAt = now_;
       if (upstream.zone == settings_.zone) smooth(ownZoneCpu_, *upstream.cpuShare, kFailureGain);
     }
     if (!report.busyRequests) return;
@@ -1271,10 +1245,8 @@
   double limitGrowth_ = 1;           // of a limit, for each limit's worth of timely answers
   double meanSize_ = 0;              // of the listed
   double fleetFailureRate_ = 0;
-  double connectFailures_ = 0;  // smoothed, of attempts that needed a new connection
-  Micros connectedAt_ = 0;      // the last one
-  double ownZoneCpu_ = 0;       // smoothed, as upstreams of the own zone report it
-  UpstreamId slot_ = kNone;     // the remembered upstream
+  double ownZoneCpu_ = 0;    // smoothed, as upstreams of the own zone report it
+  UpstreamId slot_ = kNone;  // the remembered upstream
   DecorrelatedJitter discoveryWait_;
 
   std::unordered_map<RequestId, Request> requests_;  // looked up only, never iterated
@@ -1285,8 +1257,6 @@
   double usualBusy_ = -1;           // smoothed, of requests in hand for the size, as reported
   bool statedBudget_ = false;       // the settings state a retry budget
   RetryBudget budget_;
-  bool shedding_ = false;            // requests are turned away unsent
-  Micros shedAt_ = 0;                // the last one was
   std::vector<RequestId> held_;      // in the order they came to be held
   std::vector<double> tenantUsage_;  // attempts sent lately, faded by kUsageMemory
   double totalUsage_ = 0;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -145,10 +145,12 @@
 
 void Sidecar::handle(const orchiddrum::Event& event) {
   std::vector<orchiddrum::Action> actions;
-  balancer_.handle(event, now(), actions);
+  const Micros at = now();
+  balancer_.handle(event, at, actions);
   for (const auto& action : actions) {
     std::visit([this](const auto& one) { carryOut(one); }, action);
   }
+  if (const char* line = shedding_.look(at)) log(line);
 }
 
 void Sidecar::onTaken(ClientRequest client) {
@@ -466,7 +468,13 @@
   upstreams_.cancel({cancel.request, cancel.attempt});
 }
 
+void Sidecar::noteUnsent(RequestId id) {
+  if (!requests_.at(id).attempts.empty()) return;
+  if (const char* line = shedding_.turnedAway(now())) log(line);
+}
+
 void Sidecar::carryOut(const orchiddrum::Refuse& refuse) {
+  noteUnsent(refuse.request);
   Answer answer;
   answer.status = 503;
   answer.body = "refused\n";
@@ -476,6 +484,7 @@
 }
 
 void Sidecar::carryOut(const orchiddrum::Fail& fail) {
+  noteUnsent(fail.request);
   Answer answer;
   answer.status = 502;
   answer.body = "failed\n";
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -24,6 +24,7 @@
 #include "rotation/rotation_file.h"
 #include "server.h"
 #include "service_level.h"
+#include "shedding_note.h"
 #include "upstreams.h"
 
 namespace ivypost {
@@ -114,6 +115,8 @@
   void carryOut(const orchiddrum::Fetch& fetch);
   void carryOut(const orchiddrum::Log& log);
 
+  // Of a refusal or failure that the module has decided.
+  void noteUnsent(orchiddrum::RequestId id);
   void finish(orchiddrum::RequestId id, Answer answer);
   void forget(orchiddrum::RequestId id);
   UpstreamId intern(const std::string& instanceId);
@@ -144,6 +147,7 @@
   op::File::Membership wanted_;    // by it, or by the one that is to take over
   Server server_;
   ServiceLevel level_;
+  SheddingNote shedding_;
   lifecycle::Lifecycle lifecycle_;
   boost::asio::steady_timer lifecycleTimer_;
   std::function<void()> stopped_;
--- /dev/null
+++ b/tests/shedding_note_test.cpp
@@ -0,0 +1,33 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+#include "shedding_note.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace ivypost {
+namespace {
+
+TEST(SheddingNote, IsOneLineWhenItBeginsAndOneWhenItEnds) {
+  SheddingNote note;
+  std::vector<std::string> lines;
+  const auto take = [&](const char* line) {
+    if (line != nullptr) lines.emplace_back(line);
+  };
+  std::int64_t now = 0;
+  for (; now < 10 * SheddingNote::kOver; now += SheddingNote::kOver / 2) {
+    take(note.look(now));
+    take(note.turnedAway(now));
+  }
+  ASSERT_EQ(lines.size(), 1u);
+  EXPECT_EQ(lines[0].rfind("shedding load", 0), 0u);
+  for (const auto end = now + 3 * SheddingNote::kOver; now < end; now += 1000) take(note.look(now));
+  ASSERT_EQ(lines.size(), 2u);
+  EXPECT_EQ(lines[1], "shedding is over");
+  take(note.turnedAway(now));
+  EXPECT_EQ(lines.size(), 3u);
+}
+
+}  // namespace
+}  // namespace ivypost
