Rig: faults on datagrams between sidecars, partitions, and events for a share of them

Need: what processes know of each other is to be shown with faults between them. src/fault/datagram decides, free of I/O and by a seed, what becomes of each datagram one way between two processes (loss, doubling, reordering, delay, cut, a flipped bit, silence); datagram_switch stands between the sidecars of a play.

--- a/src/fault/proxy.cpp
+++ b/src/fault/proxy.cpp
@@ -21,6 +21,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "fault/clock.h"
+
 namespace ivypost::fault {
 namespace {
 
@@ -39,10 +41,6 @@
 // A port that was given up to refuse is bound again at once; another program may hold it for a moment.
 constexpr int kBindTries = 50;
 
-Micros now() {
-  return std::chrono::duration_cast<microseconds>(Clock::now().time_since_epoch()).count();
-}
-
 [[noreturn]] void fail(const char* what) {
   throw boost::system::system_error(error_code(errno, boost::system::system_category()), what);
 }
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -57,6 +57,7 @@
   std::string name, config;  // the latter: its file
   json settings;
   std::uint16_t discoveryPort = 0, port = 0;
+  std::string peerListen, peerAddress;  // where it hears the others, and where they reach it
   // Bound and never listening: keeps the sidecar's port ours from one process to the next.
   std::unique_ptr<tcp::socket> keeper;
   std::unique_ptr<Process> process;
@@ -79,6 +80,7 @@
       signals_(io_, SIGINT, SIGTERM),
       ledger_(scenario_.rules),
       discovery_(io_, ledger_),
+      datagrams_(io_, scenario_.seed),
       ticks_(io_),
       throttles_(io_) {}
 
@@ -118,6 +120,14 @@
     sidecar->keeper->set_option(tcp::socket::reuse_address(true));
     sidecar->keeper->bind(tcp::endpoint(asio::ip::address_v4::loopback(), 0));
     sidecar->port = sidecar->keeper->local_endpoint().port();
+    if (scenario_.peers) {
+      // Closed again, since the sidecar binds it: nobody else asks the system for one of this number
+      // meanwhile.
+      asio::ip::udp::socket free(io_, asio::ip::udp::endpoint(asio::ip::address_v4::loopback(), 0));
+      const auto own = free.local_endpoint();
+      sidecar->peerListen = "127.0.0.1:" + std::to_string(own.port());
+      sidecar->peerAddress = "127.0.0.1:" + std::to_string(datagrams_.add(own).port());
+    }
     sidecar->discoveryPort = discovery_.listen(sidecar->name).port();
     sidecars_.push_back(std::move(sidecar));
   }
@@ -154,6 +164,16 @@
   }
 }
 
+// The scenario's, and [peers] behind it.
+void Fleet::writeOperatorFile() {
+  const std::string key = options_.workDir + "/peers.key", path = options_.workDir + "/operator.toml";
+  std::ofstream(key) << std::string(64, 'a') << "\n";
+  std::ofstream file(path);
+  if (!scenario_.operatorFile.empty()) file << std::ifstream(scenario_.operatorFile).rdbuf() << "\n";
+  file << "[peers]\non = true\nkey_file = \"" << key << "\"\n";
+  scenario_.operatorFile = path;
+}
+
 void Fleet::put(Node& node, State state, Micros delay) {
   node.entry.state = state;
   discovery_.put(node.entry, delay);
@@ -163,14 +183,17 @@
   // Hexadecimal as it stands, and another one at each start.
   const std::string seed =
       std::to_string(scenario_.seed * 100'000 + sidecar.result.starts * std::uint64_t{100} + sidecar.number);
-  const json file = {
-      {"name", sidecar.name},
-      {"listen", "127.0.0.1:" + std::to_string(sidecar.port)},
-      {"discovery", "127.0.0.1:" + std::to_string(sidecar.discoveryPort)},
-      {"seed", seed},
-      {"limits", {{"cores", scenario_.cores}, {"memory_mb", 192}, {"sockets", scenario_.sockets}}},
-      {"known", discovery_.whole(sidecar.name)},
-      {"settings", sidecar.settings}};
+  json file = {{"name", sidecar.name},
+               {"listen", "127.0.0.1:" + std::to_string(sidecar.port)},
+               {"discovery", "127.0.0.1:" + std::to_string(sidecar.discoveryPort)},
+               {"seed", seed},
+               {"limits", {{"cores", scenario_.cores}, {"memory_mb", 192}, {"sockets", scenario_.sockets}}},
+               {"known", discovery_.whole(sidecar.name)},
+               {"settings", sidecar.settings}};
+  if (scenario_.peers) {
+    file["peer_listen"] = sidecar.peerListen;
+    for (const auto& one : sidecars_) file["peers"].push_back(one->peerAddress);
+  }
   std::ofstream(sidecar.config) << file.dump(1) << "\n";
   sidecar.ready = sidecar.throttled = false;
   sidecar.wanted = true;
@@ -274,7 +297,7 @@
       put(*nodes_[event.target], State::Up, scenario_.notice);
       break;
     case Kind::Fault:
-      for (const auto& proxy : nodes_[event.target]->proxies) proxy->apply(event.plan);
+      lay(event, event.plan);
       break;
     case Kind::DiscoveryDown:
       discovery_.down();
@@ -285,28 +308,70 @@
     case Kind::Load:
       loadBy(event.factor, event.tenant);
       break;
-    case Kind::Kill: {
-      Sidecar& sidecar = *sidecars_[event.target];
-      sidecar.wanted = false;
-      sidecar.client->sidecarGone(true);
-      sidecar.process->signal(SIGKILL);
+    case Kind::Partition:
+    case Kind::Datagrams:
+    case Kind::Deafen: {
+      fault::DatagramPlan silence;
+      silence.silent = true;
+      datagramFaults(event, event.kind == Kind::Datagrams ? event.datagrams : silence);
       break;
     }
+    case Kind::Kill:
+      for (const auto number : event.group) {
+        Sidecar& sidecar = *sidecars_[number];
+        sidecar.wanted = false;
+        sidecar.client->sidecarGone(true);
+        sidecar.process->signal(SIGKILL);
+      }
+      break;
     case Kind::Terminate:
       sidecars_[event.target]->wanted = false;
       sidecars_[event.target]->process->signal(SIGTERM);
       break;
     case Kind::Pause:
-      sidecars_[event.target]->paused = true;
-      sidecars_[event.target]->process->signal(SIGSTOP);
+      for (const auto number : event.group) {
+        sidecars_[number]->paused = true;
+        sidecars_[number]->process->signal(SIGSTOP);
+      }
       break;
   }
-  const bool ofNode = event.kind <= Kind::Fault, ofSidecar = event.kind >= Kind::Kill;
+  const bool ofNode = event.kind <= Kind::Fault;
   if (ofNode) what += " n" + std::to_string(event.target + 1);
-  if (ofSidecar) what += " s" + std::to_string(event.target + 1);
+  if (event.kind == Kind::Terminate) what += " s" + std::to_string(event.target + 1);
+  for (const auto number : event.group) what += " s" + std::to_string(number + 1);
   say(what);
 }
 
+void Fleet::lay(const Event& event, const fault::Plan& plan) {
+  const auto& proxies = nodes_[event.target]->proxies;
+  for (std::uint32_t n = 0; n < proxies.size(); ++n) {
+    const bool named = std::find(event.group.begin(), event.group.end(), n) != event.group.end();
+    if (event.group.empty() || named) proxies[n]->apply(plan);
+  }
+}
+
+void Fleet::cutOff(const std::vector<std::uint32_t>& from, const std::vector<std::uint32_t>& to,
+                   const fault::DatagramPlan& plan) {
+  for (const auto one : from)
+    for (const auto other : to)
+      if (one != other) datagrams_.apply(one, other, plan);
+}
+
+// Of two that overlap the later one counts, and its end ends both.
+void Fleet::datagramFaults(const Event& event, const fault::DatagramPlan& plan) {
+  std::vector<std::uint32_t> others;
+  for (std::uint32_t n = 0; n < sidecars_.size(); ++n) {
+    const bool inGroup = std::find(event.group.begin(), event.group.end(), n) != event.group.end();
+    if (!inGroup || event.kind == Event::Kind::Deafen) others.push_back(n);
+  }
+  if (event.kind == Event::Kind::Datagrams) {
+    cutOff(event.group, event.to, plan);
+  } else {
+    cutOff(others, event.group, plan);
+    if (event.kind == Event::Kind::Partition) cutOff(event.group, others, plan);
+  }
+}
+
 void Fleet::over(const Event& event) {
   using Kind = Event::Kind;
   switch (event.kind) {
@@ -314,7 +379,7 @@
       nodes_[event.target]->node->hang(false);
       break;
     case Kind::Fault:
-      for (const auto& proxy : nodes_[event.target]->proxies) proxy->apply({});
+      lay(event, {});
       break;
     case Kind::DiscoveryDown:
       discovery_.up();
@@ -325,13 +390,22 @@
     case Kind::Load:
       loadBy(1);
       break;
+    case Kind::Partition:
+    case Kind::Deafen:
+    case Kind::Datagrams:
+      datagramFaults(event, {});
+      break;
     case Kind::Kill:
-      launch(*sidecars_[event.target]);
-      sidecars_[event.target]->client->sidecarGone(false);
+      for (const auto number : event.group) {
+        launch(*sidecars_[number]);
+        sidecars_[number]->client->sidecarGone(false);
+      }
       break;
     case Kind::Pause:
-      sidecars_[event.target]->paused = false;
-      sidecars_[event.target]->process->signal(SIGCONT);
+      for (const auto number : event.group) {
+        sidecars_[number]->paused = false;
+        sidecars_[number]->process->signal(SIGCONT);
+      }
       break;
     case Kind::Drain:
     case Kind::Die:
@@ -451,6 +525,12 @@
     if (!cancelled) interrupted_ = true;
   });
   build();
+  if (scenario_.peers) writeOperatorFile();
+  if (options_.built) {
+    std::vector<std::string> listens;
+    for (const auto& sidecar : sidecars_) listens.push_back(sidecar->peerListen);
+    guest_ = options_.built(io_, listens);
+  }
   for (const auto& sidecar : sidecars_) launch(*sidecar);
   awaitReady();
   startedAt_ = nowMicros();
@@ -492,9 +572,12 @@
   for (const auto& node : nodes_) {
     result.nodeConnections += node->node->connectionsAccepted();
     result.nodeArrivals += node->node->arrivals();
+    result.hungArrivals += node->node->arrivalsWhileHung();
     result.probes += node->node->probes();
     result.fallen += node->node->model().fallen() ? 1 : 0;
   }
+  result.peerDatagrams = datagrams_.counts().taken;
+  result.peerBytes = datagrams_.counts().bytes;
   return result;
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <vector>
 
+#include "fault/datagram_switch.h"
 #include "fault/proxy.h"
 #include "fleet/process.h"
 #include "fleet/scenario.h"
@@ -47,7 +48,9 @@
   std::vector<SidecarResult> sidecars;
   std::uint64_t offered = 0, inAim = 0, clientRetries = 0, clientConnections = 0;
   std::uint64_t nodeConnections = 0, nodeArrivals = 0, probes = 0;
-  std::uint32_t fallen = 0;  // nodes that too much work pushed over
+  std::uint64_t hungArrivals = 0;                  // at nodes while they hung
+  std::uint64_t peerDatagrams = 0, peerBytes = 0;  // between sidecars
+  std::uint32_t fallen = 0;                        // nodes that too much work pushed over
   Micros played = 0;
   bool interrupted = false;
 
@@ -69,7 +72,12 @@
     std::string program;                        // ivypost
     std::string workDir;                        // where the sidecars' configurations are written; exists
     std::function<void(const Second&)> second;  // may be empty
-    std::function<void(const std::string&)> happened;    // one line for each event; may be empty
+    std::function<void(const std::string&)> happened;  // one line for each event; may be empty
+    // Told where each sidecar hears the others, before the first starts: for what a test sends them besides.
+    // What it gives lives as long as the loop. May be empty.
+    std::function<std::shared_ptr<void>(boost::asio::io_context&,
+                                        const std::vector<std::string>& peerListens)>
+        built;
     std::function<void(const std::string&)> sidecarLog;  // one line of a sidecar's log; may be empty
   };
 
@@ -95,6 +103,11 @@
   void put(Node& node, standins::Discovery::State state, Micros delay);
   // Of this tenant alone, or of all of them if it has no name.
   void loadBy(double factor, const std::string& tenant = {});
+  void writeOperatorFile();
+  void lay(const Event& event, const fault::Plan& plan);
+  void cutOff(const std::vector<std::uint32_t>& from, const std::vector<std::uint32_t>& to,
+              const fault::DatagramPlan& plan);
+  void datagramFaults(const Event& event, const fault::DatagramPlan& plan);
   void throttle();
   void tick();
   void reap();
@@ -103,13 +116,14 @@
   void after(Micros wait, std::function<void()> what);
   void say(const std::string& line) const;
 
-  const Scenario scenario_;
+  Scenario scenario_;
   const Options options_;
   boost::asio::io_context io_{1};
   boost::asio::signal_set signals_;
   standins::Ledger ledger_;
   std::vector<std::unique_ptr<standins::KeyMemory>> keys_;  // by group
   standins::Discovery discovery_;
+  fault::DatagramSwitch datagrams_;  // between the sidecars
   std::vector<std::unique_ptr<Node>> nodes_;
   std::vector<std::unique_ptr<Sidecar>> sidecars_;
   boost::asio::steady_timer ticks_, throttles_;
@@ -117,6 +131,7 @@
   std::uint32_t seconds_ = 0;
   standins::Tally lastTally_;
   bool interrupted_ = false, playing_ = false;
+  std::shared_ptr<void> guest_;  // of a test; the last, since it uses the loop
 };
 
 }  // namespace ivypost::fleet
--- a/src/fleet/scenario.cpp
+++ b/src/fleet/scenario.cpp
@@ -3,7 +3,9 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <nlohmann/json.hpp>
+#include <random>
 
 #include "configfile/table.h"
 #include "fault/plan_reader.h"
@@ -18,9 +20,9 @@
 constexpr Micros kMaxLength = 24LL * 3600 * 1'000'000;
 constexpr std::size_t kMaxRows = 64, kMaxEvents = 1024;
 
-constexpr std::array<const char*, 11> kEvents = {
-    "hang", "drain", "die",       "start", "fault", "discovery-down", "discovery-silent",
-    "load", "kill",  "terminate", "pause"};
+constexpr std::array<const char*, 14> kEvents = {
+    "hang", "drain",     "die",    "start",     "fault", "discovery-down", "discovery-silent",
+    "load", "partition", "deafen", "datagrams", "kill",  "terminate",      "pause"};
 
 Micros within(Table& table, std::string_view key, Micros low, Micros high, Micros fallback) {
   const Micros value = table.duration(key, fallback);
@@ -59,6 +61,39 @@
   return cls;
 }
 
+// Sidecars named by their numbers, by one alone, or as a share of all, drawn by the seed and the event's
+// time.
+std::vector<std::uint32_t> readSidecars(Table& table, const char* list, const Scenario& scenario, Micros at) {
+  std::vector<std::uint32_t> numbers;
+  if (table.has("share") && list == std::string_view("group")) {
+    const double share = table.number("share", 0, 1);
+    for (std::uint32_t n = 0; n < scenario.sidecars; ++n) numbers.push_back(n);
+    std::mt19937_64 random(scenario.seed + static_cast<std::uint64_t>(at));
+    std::shuffle(numbers.begin(), numbers.end(), random);
+    numbers.resize(static_cast<std::size_t>(std::lround(share * scenario.sidecars)));
+  } else if (table.has("sidecar") && list == std::string_view("group")) {
+    numbers.push_back(static_cast<std::uint32_t>(table.integer("sidecar", 1, scenario.sidecars)) - 1);
+  } else {
+    for (const auto number : table.integers(list, 1, scenario.sidecars, kMaxSidecars))
+      numbers.push_back(static_cast<std::uint32_t>(number) - 1);
+  }
+  if (numbers.empty()) table.fail(list, "no sidecar is named, by 'sidecar', 'share' or a list of numbers");
+  return numbers;
+}
+
+fault::DatagramPlan readDatagrams(Table& table) {
+  fault::DatagramPlan plan;
+  plan.silent = table.flag("silent", false);
+  plan.loss = table.number("loss", 0, 1, 0);
+  plan.doubled = table.number("doubled", 0, 1, 0);
+  plan.reordered = table.number("reordered", 0, 1, 0);
+  plan.cut = table.number("cut", 0, 1, 0);
+  plan.flipped = table.number("flipped", 0, 1, 0);
+  plan.delay = within(table, "delay", 0, 600'000'000, 0);
+  plan.jitter = within(table, "jitter", 0, 600'000'000, 0);
+  return plan;
+}
+
 Event readEvent(Table& table, const Scenario& scenario) {
   Event event;
   const std::vector<std::string_view> words(kEvents.begin(), kEvents.end());
@@ -73,9 +108,18 @@
     case Kind::Fault:
       event.target = static_cast<std::uint32_t>(table.integer("node", 1, scenario.nodeCount())) - 1;
       break;
+    case Kind::Partition:
+    case Kind::Deafen:
+    case Kind::Datagrams:
+      if (!scenario.peers) table.fail("do", "sidecars say nothing to each other; set peers = true");
+      event.group = readSidecars(table, "group", scenario, event.at);
+      if (event.kind == Kind::Datagrams) event.to = readSidecars(table, "to", scenario, event.at);
+      break;
     case Kind::Kill:
-    case Kind::Terminate:
     case Kind::Pause:
+      event.group = readSidecars(table, "group", scenario, event.at);
+      break;
+    case Kind::Terminate:
       event.target = static_cast<std::uint32_t>(table.integer("sidecar", 1, scenario.sidecars)) - 1;
       break;
     case Kind::Load:
@@ -93,11 +137,18 @@
                      event.kind != Kind::Terminate;
   if (lasts) event.length = table.duration("for");
   if (event.kind == Kind::Fault) {
+    if (table.has("group")) event.group = readSidecars(table, "group", scenario, event.at);
     auto plan = table.table("plan");
     if (!plan) table.fail("", "the key 'plan' is missing");
     event.plan = fault::readPlan(*plan);
     plan->finish();
   }
+  if (event.kind == Kind::Datagrams) {
+    auto plan = table.table("plan");
+    if (!plan) table.fail("", "the key 'plan' is missing");
+    event.datagrams = readDatagrams(*plan);
+    plan->finish();
+  }
   table.finish();
   return event;
 }
@@ -140,6 +191,7 @@
   scenario.impatient = root.number("impatient", 0, 1, 0);
   scenario.notice = within(root, "notice", 0, 600'000'000, scenario.notice);
   scenario.probes = root.flag("probes", true);
+  scenario.peers = root.flag("peers", false);
   scenario.secondCopies = root.flag("second_copies", true);
   auto& rules = scenario.rules;
   rules.keyWindow = within(root, "key_window", 0, 600'000'000, rules.keyWindow);
--- a/src/fleet/scenario.h
+++ b/src/fleet/scenario.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "fault/datagram.h"
 #include "fault/plan.h"
 #include "standins/ledger.h"
 #include "standins/node_model.h"
@@ -45,17 +46,24 @@
     Drain,            // discovery tells it after `notice`; the node finishes what it has
     Die,              // the node's process ends; discovery tells it after `notice`
     Start,            // the node starts again, cold; discovery tells it after `notice`
-    Fault,            // the plan lies between all sidecars and the node, for `length`
+    Fault,            // the plan lies between the node and all sidecars, or those of `group`, for `length`
     DiscoveryDown,    // for `length`
     DiscoverySilent,  // for `length`
     Load,             // the rate is `factor` times the scenario's, for `length`
-    Kill,             // the sidecar gets SIGKILL, and starts again after `length`
+    Partition,        // the sidecars of `group` and the others don't hear each other, for `length`
+    Deafen,           // the sidecars of `group` hear no other sidecar, but can send, for `length`
+    Datagrams,        // the plan lies between the sidecars `group` and those of `to`, one way, for `length`
+    Kill,             // the sidecars get SIGKILL, and start again after `length`
     Terminate,        // the sidecar gets SIGTERM, and starts again when it has ended
-    Pause,            // the sidecar gets SIGSTOP, and goes on after `length`
+    Pause,            // the sidecars get SIGSTOP, and go on after `length`
   };
   Kind kind = Kind::Hang;
   Micros at = 0, length = 0;
   std::uint32_t target = 0;  // the node's or sidecar's number, from 0
+  // Sidecars, by their numbers from 0; of Kill, Pause and Fault too. A share of them is drawn by the
+  // scenario's seed.
+  std::vector<std::uint32_t> group, to;
+  fault::DatagramPlan datagrams;
   double factor = 1;
   std::string tenant;  // of Load: whose alone; empty: everybody's
   fault::Plan plan;
@@ -81,6 +89,7 @@
   double impatient = 0;
   Micros notice = 1'000'000;  // from a change to when discovery tells it
   bool probes = true, secondCopies = true;
+  bool peers = false;  // sidecars find each other and share judgements; each way between two has its faults
   standins::Rules rules;
   std::vector<Event> events;  // in the order of their times
 
--- a/src/standins/node.cpp
+++ b/src/standins/node.cpp
@@ -51,6 +51,7 @@
 
 void Node::hang(bool on) {
   model_.hang(on, nowMicros());
+  hung_ = on;
   run();
 }
 
@@ -70,6 +71,7 @@
   const std::string trace = exchange->header("X-Trace-Id");
   if (trace.empty()) return exchange->reply(404, "no id\n");
   ++arrivals_;
+  arrivalsWhileHung_ += hung_ ? 1 : 0;
   ++seen_[trace];
   if (const std::string key = exchange->header("Idempotency-Key"); !key.empty()) ++seenKeys_[key];
   const std::string requestClass = target.substr(1, target.find('/', 1) - 1);
--- a/src/standins/node.h
+++ b/src/standins/node.h
@@ -62,6 +62,7 @@
   // ---- What it saw ----
   std::uint64_t arrivals() const { return arrivals_; }
   std::uint64_t probes() const { return probes_; }
+  std::uint64_t arrivalsWhileHung() const { return arrivalsWhileHung_; }
   std::uint32_t arrivalsOf(const std::string& trace) const;
   std::uint32_t arrivalsOfKey(const std::string& key) const;  // an Idempotency-Key
   std::uint64_t connectionsAccepted() const { return server_.accepted(); }
@@ -91,7 +92,8 @@
   std::deque<Once> once_;
   std::unordered_map<NodeModel::Job, Job> jobs_;
   std::unordered_map<std::string, std::uint32_t> seen_, seenKeys_;
-  std::uint64_t arrivals_ = 0, probes_ = 0;
+  std::uint64_t arrivals_ = 0, probes_ = 0, arrivalsWhileHung_ = 0;
+  bool hung_ = false;
   HttpServer server_;  // the last: its connections' ends call back
 };
 
--- a/tests/fleet/scenario_test.cpp
+++ b/tests/fleet/scenario_test.cpp
@@ -36,11 +36,36 @@
   ASSERT_EQ(scenario.events.size(), 3u);
   EXPECT_EQ(scenario.events[0].kind, Event::Kind::Fault);
   EXPECT_EQ(scenario.events[0].plan.rules.size(), 1u);
-  EXPECT_EQ(scenario.events[1].target, 1u);
+  EXPECT_EQ(scenario.events[1].group, (std::vector<std::uint32_t>{1}));
   EXPECT_EQ(scenario.events[2].kind, Event::Kind::Drain);
   EXPECT_EQ(scenario.events[2].target, 2u);
 }
 
+TEST(Scenario, ReadsFaultsBetweenSidecars) {
+  const std::string head =
+      "name = \"n\"\nsidecars = 12\nseed = 5\npeers = true\n[[node]]\n[[class]]\nname = \"a\"\neffect = "
+      "\"safe\"\n";
+  const std::string events =
+      "[[event]]\nat = \"1s\"\ndo = \"partition\"\ngroup = [1, 2, 12]\nfor = \"3s\"\n"
+      "[[event]]\nat = \"2s\"\ndo = \"deafen\"\nshare = 0.34\nfor = \"3s\"\n"
+      "[[event]]\nat = \"3s\"\ndo = \"datagrams\"\ngroup = [1]\nto = [2, 3]\nfor = \"3s\"\n"
+      "plan = { loss = 0.3, doubled = 0.1, delay = \"20ms\" }\n"
+      "[[event]]\nat = \"4s\"\ndo = \"kill\"\nshare = 0.9\nfor = \"2s\"\n"
+      "[[event]]\nat = \"5s\"\ndo = \"fault\"\nnode = 1\ngroup = [4]\nfor = \"1s\"\n"
+      "[[event.plan.rule]]\n[[event.plan.rule.answer]]\ndo = \"swallow\"\n";
+  const Scenario scenario = parseScenario(head + events, "s");
+  ASSERT_EQ(scenario.events.size(), 5u);
+  EXPECT_TRUE(scenario.peers);
+  EXPECT_EQ(scenario.events[0].group, (std::vector<std::uint32_t>{0, 1, 11}));
+  EXPECT_EQ(scenario.events[1].group.size(), 4u);
+  EXPECT_EQ(scenario.events[1].group, parseScenario(head + events, "s").events[1].group) << "by the seed";
+  EXPECT_EQ(scenario.events[2].to, (std::vector<std::uint32_t>{1, 2}));
+  EXPECT_EQ(scenario.events[2].datagrams.loss, 0.3);
+  EXPECT_EQ(scenario.events[2].datagrams.delay, 20'000);
+  EXPECT_EQ(scenario.events[3].group.size(), 11u);
+  EXPECT_EQ(scenario.events[4].group, (std::vector<std::uint32_t>{3}));
+}
+
 TEST(Scenario, ReadsPartsOfACoreAndOneTenantsLoad) {
   const Scenario scenario =
       parseScenario("cores = 0.1\noperator = \"op.toml\"\nconnections = 500\n" + kLeast +
@@ -65,6 +90,12 @@
        "s:9: event[1].tenant: there is no [[tenant]] of this name"},
       {kLeast + "[[event]]\ndo = \"hang\"\nnode = 2\nfor = \"1s\"",
        "s:8: event[1].node: 2 is out of range; allowed is 1 to 1"},
+      {kLeast + "[[event]]\ndo = \"deafen\"\nshare = 0.5\nfor = \"1s\"",
+       "s:7: event[1].do: sidecars say nothing to each other; set peers = true"},
+      {"peers = true\n" + kLeast + "[[event]]\ndo = \"partition\"\ngroup = [4]\nfor = \"1s\"",
+       "s:9: event[1].group: 4 is not allowed in the list; allowed is 1 to 3"},
+      {"peers = true\n" + kLeast + "[[event]]\ndo = \"partition\"\nfor = \"1s\"",
+       "s:7: event[1].group: no sidecar is named, by 'sidecar', 'share' or a list of numbers"},
       {kLeast + "[[event]]\ndo = \"hang\"\nnode = 1", "s:6: event[1]: the key 'for' is missing"},
       {kLeast + "[[event]]\ndo = \"drain\"\nnode = 1\nfor = \"1s\"",
        "s:9: event[1].for: there is no such key; did you mean 'do'?"},
--- a/tools/ivyfleet/main.cpp
+++ b/tools/ivyfleet/main.cpp
@@ -85,7 +85,15 @@
               static_cast<unsigned long long>(t.repeats),
               static_cast<unsigned long long>(result.nodeConnections),
               static_cast<unsigned long long>(result.probes), result.fallen);
+  if (result.hungArrivals > 0)
+    std::printf("attempts at nodes while they hung: %llu\n",
+                static_cast<unsigned long long>(result.hungArrivals));
   const double seconds = std::max(0.001, static_cast<double>(result.played) / 1e6);
+  if (result.peerDatagrams > 0)
+    std::printf(
+        "between sidecars: %llu datagrams, %.0f bytes a second from each\n",
+        static_cast<unsigned long long>(result.peerDatagrams),
+        static_cast<double>(result.peerBytes) / seconds / static_cast<double>(result.sidecars.size()));
   for (std::size_t n = 0; n < result.sidecars.size(); ++n) {
     const auto& one = result.sidecars[n];
     std::printf("s%zu: %.2f s of processor (%.1f%% of a core), %.1f MB at its peak, %u start%s%s\n", n + 1,
@@ -110,6 +118,8 @@
 struct Changes {
   double length = 0, rate = 0;  // 0: the scenario's own
   std::string operatorFile;     // empty: likewise
+  std::uint64_t seed = 0;       // 0: likewise
+  bool peers = false;           // or as the scenario has it
 };
 
 int run(const std::string& path, std::string program, const Changes& changes, bool verbose) {
@@ -117,6 +127,8 @@
   const double length = changes.length;
   if (changes.rate > 0) scenario.rate = changes.rate;
   if (!changes.operatorFile.empty()) scenario.operatorFile = changes.operatorFile;
+  if (changes.seed > 0) scenario.seed = changes.seed;
+  scenario.peers = scenario.peers || changes.peers;
   if (length > 0) scenario.length = static_cast<Micros>(length * 1e6);
   if (program.empty()) program = std::filesystem::read_symlink("/proc/self/exe").parent_path() / "ivypost";
   if (access(program.c_str(), X_OK) != 0)
@@ -172,6 +184,8 @@
       ->check(CLI::Range(0.1, 100000.0));
   app.add_option("--operator", changes.operatorFile,
                  "the sidecars' operator's file, in place of the scenario's own");
+  app.add_option("--seed", changes.seed, "in place of the scenario's own")->check(CLI::Range(1UL, 1UL << 62));
+  app.add_flag("--peers", changes.peers, "sidecars share what they know, whatever the scenario says");
   app.add_flag("--verbose", verbose, "shows the sidecars' logs too");
   CLI11_PARSE(app, argc, argv);
   try {
