Module: one event for what other sidecars have found, which the module weighs itself

Need: a node that hangs or fails costs each sidecar its own attempts, and each tries an ejected one by itself. Hearsay tells of one life of an upstream how many others find it bad, whether one was served since, and whose turn a trial is. Three witnesses (two where fewer than six are heard) eject it as own failures do, but up to a quarter of the list and never the last ready one; an own answer within a second counts for more; that it is well permits one trial; a trial is one sidecar's turn. What is told lapses by itself within 2 s at the most, so a deaf or stopped sidecar decides as without. Rules 3 and 4 are asked as before, at every send.

--- a/include/orchiddrum/balancer.h
+++ b/include/orchiddrum/balancer.h
@@ -202,8 +202,21 @@
   double probes = 1;         // the part of the usual probes; 0 to 1, others are brought into range
 };
 
+// What the other sidecars that this one hears say of an upstream. It counts for `holds` and is told anew for
+// as long as there is something to say; who never tells it has the module as it is without. It can take an
+// upstream out or permit a trial of one that is out, and never lets anything go to one that the rules forbid.
+struct Hearsay {
+  UpstreamId upstream = 0;
+  Micros launchedAt = 0;        // the life it is said of, as the list has it; of another it counts nothing
+  std::uint32_t sidecars = 0;   // that are heard, this one among them
+  std::uint32_t witnesses = 0;  // others that find it bad, each by attempts of its own
+  bool well = false;            // one of them was served by it since
+  bool turn = true;             // if it is out, its next trial is this sidecar's
+  Micros holds = 0;             // 0 to 2 s; others are brought into range
+};
+
 using Event = std::variant<MembershipUpdate, NewRequest, AttemptStarted, AttemptOutcome, Withdrawn,
-                           ProbeResult, TimerDue, ReducedService>;
+                           ProbeResult, TimerDue, ReducedService, Hearsay>;
 
 // ---- Actions --------------------------------------------------------------------------------------------
 
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -26,7 +26,8 @@
 constexpr double kMaxColdCredit = 1;
 // A cold upstream may get so many times the load that a warm one has while all are warm.
 constexpr double kMaxColdShare = 1.5;
-// Odds of a cold upstream that has its credit, against all warm ones together: its turn has come already.
+// Odds of a cold upstream that has its credit, and of a trial that is this sidecar's turn, against all warm
+// ones together: its turn has come already.
 constexpr double kColdOdds = 0.125;
 // At their start all sidecars ask discovery by their numbers, one in this time (microseconds), but all within
 // this part of askWithin. Failed calls back off from these parts of askWithin or that spread, up to these.
@@ -73,7 +74,11 @@
 constexpr Micros kEjection = 1'000'000;
 constexpr int kMaxEjectionDoublings = 3;
 // At most this share of the listed may be ejected at once: beyond it suspect load, the network or us.
-constexpr double kMaxEjected = 0.5;
+// Hearsay adds to them up to the second share alone. So many others have to agree, one less where few are
+// heard; an own answer counts for more than they do for so long.
+constexpr double kMaxEjected = 0.5, kMaxHearsay = 0.25;
+constexpr std::uint32_t kWitnesses = 3, kFewHeard = 6;
+constexpr Micros kOwnWord = 1'000'000, kLongestHearsay = 2'000'000;
 
 // A request is never taken for worth less than this part of the worthiest.
 constexpr double kLeastWorth = 0.01;
@@ -159,6 +164,9 @@
   bool home = false;              // a connection to it is worth keeping
   bool halfOpen = false;          // ejected, or back on trial: one attempt at a time
   bool answers = true;            // the last outcome was an answer, good or bad
+  Micros servedAt = -kOwnWord;    // its last own answer
+  Micros toldUntil = 0;           // others have said something of it: a trial is one sidecar's turn ...
+  bool turn = false;              // ... this one's
   Micros pausedUntil = 0;         // resting, by a refusal or a limit under one
   int refusals = 0;               // in a row
   Micros limitCutAt = 0;          // attempts sent before this do not cut the limit again
@@ -420,8 +428,9 @@
     double sum = 0;
     for (std::size_t n = 0; n < eligible.size(); ++n) {
       const Upstream& upstream = upstreams_[eligible[n]];
-      odds_[n] = sum += warmth(upstream, now_) < 1 ? std::max(odds_[n], cold * zoneOdds(upstream))
-                                                   : odds_[n] * (upstream.home ? 1 : cut);
+      const bool due = warmth(upstream, now_) < 1 || (upstream.halfOpen && now_ < upstream.toldUntil);
+      odds_[n] = sum +=
+          due ? std::max(odds_[n], cold * zoneOdds(upstream)) : odds_[n] * (upstream.home ? 1 : cut);
     }
     const auto at = std::upper_bound(odds_.begin(), odds_.end(), uniform() * sum) - odds_.begin();
     return eligible[std::min<std::size_t>(static_cast<std::size_t>(at), eligible.size() - 1)];
@@ -554,7 +563,7 @@
     const auto listed = static_cast<double>(std::max<std::size_t>(1, listed_.size()));
     smooth(fleetFailureRate_, failed, kFailureGain / listed);
     smooth(upstream.failureRate, failed, kFailureGain);
-    if (failed == 0) upstream.refusals = 0;
+    if (failed == 0) upstream.refusals = 0, upstream.servedAt = now_;
     if (upstream.halfOpen && upstream.failureRate < kFailureExcess / 2) {
       upstream.halfOpen = false;
       upstream.ejections = 0;
@@ -566,14 +575,35 @@
       pause(upstream, static_cast<Micros>(overallLag_));
   }
 
+  // Guards against trials by all sidecars: where others say something of one that is out, each is one's turn.
+  static bool mayTry(const Upstream& upstream, Micros now) {
+    return now >= upstream.toldUntil || upstream.turn;
+  }
+
+  // Own fresh evidence beats hearsay. What enough others have found is an ejection like one's own, but of
+  // fewer upstreams and never of the last ready; that one of them was served since only permits a trial.
+  void on(const Hearsay& event) {
+    if (event.upstream >= upstreams_.size()) return;
+    Upstream& upstream = upstreams_[event.upstream];
+    if (!upstream.listed || event.launchedAt != upstream.launchedAt) return;
+    upstream.toldUntil = now_ + std::clamp<Micros>(event.holds, 0, kLongestHearsay);
+    upstream.turn = event.turn || event.well;
+    if (event.well && upstream.halfOpen) upstream.ejectedUntil = std::min(upstream.ejectedUntil, now_);
+    if (event.well || upstream.halfOpen || now_ - upstream.servedAt < kOwnWord ||
+        event.witnesses < (event.sidecars < kFewHeard ? kWitnesses - 1 : kWitnesses))
+      return;
+    const auto another = [&](UpstreamId id) { return id != event.upstream && isReady(upstreams_[id], now_); };
+    if (std::any_of(listed_.begin(), listed_.end(), another)) eject(event.upstream, kMaxHearsay);
+  }
+
   // False if so many are out already that this one has to stay.
-  bool eject(UpstreamId id) {
+  bool eject(UpstreamId id, double most = kMaxEjected) {
     const auto out = std::count_if(listed_.begin(), listed_.end(), [this](UpstreamId other) {
       return upstreams_[other].halfOpen || now_ < upstreams_[other].ejectedUntil;
     });
     Upstream& upstream = upstreams_[id];
     const double others = static_cast<double>(out) - (upstream.halfOpen ? 1 : 0);
-    if (others + 1 > kMaxEjected * static_cast<double>(listed_.size())) return false;
+    if (others + 1 > most * static_cast<double>(listed_.size())) return false;
     const double wait =
         static_cast<double>(kEjection) * std::exp2(std::min(upstream.ejections, kMaxEjectionDoublings));
     // Jittered, so that sidecars which saw the same failure do not come back together.
@@ -596,7 +626,7 @@
   bool isReady(const Upstream& upstream, Micros now) const {
     if (!upstream.listed || !hasColdCredit(upstream, now)) return false;
     if (now < upstream.ejectedUntil || now < upstream.pausedUntil) return false;
-    if (upstream.halfOpen && upstream.inFlight > 0) return false;
+    if (upstream.halfOpen && (upstream.inFlight > 0 || !mayTry(upstream, now))) return false;
     if (isSilent(upstream, now)) return false;
     return upstream.inFlight == 0 || static_cast<double>(upstream.inFlight) + 1 <= upstream.limit;
   }
@@ -852,7 +882,8 @@
     eligible_.clear();
     for (const UpstreamId to : listed_) {
       const Upstream& upstream = upstreams_[to];
-      const bool free = upstream.halfOpen && upstream.answers && upstream.inFlight == 0;
+      const bool free =
+          upstream.halfOpen && upstream.answers && upstream.inFlight == 0 && mayTry(upstream, now_);
       if (free && mayGoTo(to, request, may)) eligible_.push_back(to);
     }
     if (eligible_.empty()) return answer(id, request);
--- /dev/null
+++ b/tests/hearsay_test.cpp
@@ -0,0 +1,212 @@
+// Copyright 2026 The orchiddrum authors. SPDX-License-Identifier: Apache-2.0
+//
+// What the module does with what other sidecars have found.
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "rig.h"
+
+namespace orchiddrum {
+namespace {
+
+constexpr Micros kHolds = 500 * kMs;
+
+Hearsay bad(UpstreamId upstream, std::uint32_t witnesses, bool turn = false) {
+  Hearsay hearsay;
+  hearsay.upstream = upstream;
+  hearsay.sidecars = 12;
+  hearsay.witnesses = witnesses;
+  hearsay.turn = turn;
+  hearsay.holds = kHolds;
+  return hearsay;
+}
+
+// Where 40 requests go that are served at once.
+std::multiset<UpstreamId> draws(Rig& rig, RequestId& id) {
+  std::multiset<UpstreamId> to;
+  for (int n = 0; n < 40; ++n) {
+    const UpstreamId upstream = rig.sent(++id);
+    to.insert(upstream);
+    rig.now += kMs;
+    rig.outcome(id, upstream, Outcome::Ok);
+  }
+  return to;
+}
+
+TEST(Hearsay, EnoughWitnessesTakeAnUpstreamOutAndOneOrTwoDoNot) {
+  const struct {
+    std::uint32_t sidecars, witnesses;
+    bool out;
+  } rows[] = {{12, 0, false}, {12, 1, false}, {12, 2, false}, {12, 3, true},
+              {3, 1, false},  {3, 2, true},   {300, 2, false}};
+  for (const auto& row : rows) {
+    Rig rig;
+    rig.start(10);
+    Hearsay hearsay = bad(4, row.witnesses);
+    hearsay.sidecars = row.sidecars;
+    rig.feed(hearsay);
+    EXPECT_EQ(rig.balancer.ready(4, rig.now), !row.out) << row.sidecars << " " << row.witnesses;
+  }
+}
+
+TEST(Hearsay, AnOwnAnswerCountsForMore) {
+  Rig rig;
+  rig.start(10);
+  RequestId id = 0;
+  UpstreamId served = rig.sent(++id);
+  rig.outcome(id, served, Outcome::Ok);
+  rig.feed(bad(served, 11));
+  EXPECT_TRUE(rig.balancer.ready(served, rig.now));
+  rig.now += kSecond;
+  rig.feed(bad(served, 11));
+  EXPECT_FALSE(rig.balancer.ready(served, rig.now));
+}
+
+TEST(Hearsay, TakesOutAQuarterAtTheMostAndNeverTheLastReadyOnes) {
+  Rig rig;
+  rig.start(10);
+  for (UpstreamId id = 0; id < 10; ++id) rig.feed(bad(id, 11));
+  int out = 0;
+  for (UpstreamId id = 0; id < 10; ++id) out += rig.balancer.ready(id, rig.now) ? 0 : 1;
+  EXPECT_EQ(out, 2);
+  // All others drain: of the two that are left none is ready, and a third that comes stays whatever is said.
+  Rig few;
+  few.start(3);
+  for (UpstreamId id = 0; id < 3; ++id) few.feed(bad(id, 11));
+  for (UpstreamId id = 0; id < 3; ++id) EXPECT_TRUE(few.balancer.ready(id, few.now));
+}
+
+// The judgement of an earlier life, or of one that this sidecar has not been told of.
+TEST(Hearsay, CountsForOneLifeAlone) {
+  Rig rig;
+  rig.start(10);
+  rig.list(MembershipUpdate::Kind::Changes, {serving(4, 1, rig.now - 100 * kSecond)});
+  rig.feed(bad(4, 11));
+  EXPECT_TRUE(rig.balancer.ready(4, rig.now));
+  Hearsay hearsay = bad(4, 11);
+  hearsay.launchedAt = rig.now - 100 * kSecond;
+  rig.feed(hearsay);
+  EXPECT_FALSE(rig.balancer.ready(4, rig.now));
+  rig.list(MembershipUpdate::Kind::Changes, {serving(4, 1, rig.now - 50 * kSecond)});
+  EXPECT_TRUE(rig.balancer.ready(4, rig.now)) << "another life";
+  rig.feed(bad(1000, 11));  // nobody has this number
+}
+
+// Out by hearsay: while it is told, only the one whose turn it is tries it, once it may be tried at all.
+TEST(Hearsay, ATrialIsOneSidecarsTurn) {
+  for (const bool turn : {false, true}) {
+    Rig rig;
+    rig.start(10);
+    RequestId id = 0;
+    rig.feed(bad(4, 3, turn));
+    for (int n = 0; n < 30; ++n) {
+      rig.now += 100 * kMs;
+      rig.feed(bad(4, 3, turn));
+    }
+    const bool ready = rig.balancer.ready(4, rig.now);
+    EXPECT_EQ(ready, turn);
+    EXPECT_EQ(draws(rig, id).count(4) > 0, turn);
+  }
+}
+
+TEST(Hearsay, ThatSomebodyWasServedPermitsATrialAndNoMore) {
+  Rig rig;
+  rig.start(10);
+  rig.feed(bad(4, 3));
+  ASSERT_FALSE(rig.balancer.ready(4, rig.now));
+  Hearsay well = bad(4, 3);
+  well.well = true;
+  rig.feed(well);
+  EXPECT_TRUE(rig.balancer.ready(4, rig.now));
+  // One trial at a time, until it has proved itself.
+  RequestId id = 0;
+  std::size_t at4 = 0;
+  for (int n = 0; n < 60; ++n) {
+    const UpstreamId to = rig.sent(++id);
+    at4 += to == 4 ? 1 : 0;
+    if (to != 4) rig.outcome(id, to, Outcome::Ok);
+  }
+  EXPECT_EQ(at4, 1u);
+}
+
+// Deaf, or stopped for a while: nothing is told, and it decides as without others when what was told has
+// lapsed, before any other event.
+TEST(Hearsay, LapsesByItself) {
+  Rig rig;
+  rig.start(10);
+  for (int n = 0; n < 30; ++n) {
+    rig.feed(bad(4, 3));
+    rig.now += 100 * kMs;
+  }
+  EXPECT_FALSE(rig.balancer.ready(4, rig.now));
+  EXPECT_TRUE(rig.balancer.ready(4, rig.now + kHolds));
+  Hearsay forever = bad(4, 3);
+  forever.holds = 3600 * kSecond;
+  rig.feed(forever);
+  EXPECT_FALSE(rig.balancer.ready(4, rig.now + kSecond));
+  EXPECT_TRUE(rig.balancer.ready(4, rig.now + 2 * kSecond)) << "the longest that it may count";
+}
+
+// Rules 3 and 4: nothing that is told brings back what drains or lets a cold one have more than its credit.
+TEST(Hearsay, LoosensNoRule) {
+  Rig rig;
+  rig.start(4);
+  rig.list(MembershipUpdate::Kind::Changes, {leaving(2, UpstreamState::Draining)});
+  Hearsay well = bad(2, 0, true);
+  well.well = true;
+  rig.feed(well);
+  EXPECT_FALSE(rig.balancer.ready(2, rig.now));
+  Rig cold;
+  std::vector<UpstreamEntry> entries = {serving(0, 1, cold.now)};
+  cold.list(MembershipUpdate::Kind::Saved, entries);
+  RequestId id = 0;
+  std::size_t sent = 0;
+  for (int n = 0; n < 50; ++n) {
+    Hearsay one = bad(0, 0, true);
+    one.launchedAt = cold.now;
+    one.well = true;
+    cold.feed(one);
+    cold.request(++id);
+    sent += cold.count<Send>();
+  }
+  Rig without;
+  without.list(MembershipUpdate::Kind::Saved, entries);
+  std::size_t sentWithout = 0;
+  for (id = 1; id <= 50; ++id) {
+    without.request(id);
+    sentWithout += without.count<Send>();
+  }
+  EXPECT_EQ(sent, sentWithout);
+}
+
+// A fleet of sidecars around one upstream that fails four in five: trials a second do not go with their
+// number.
+TEST(Hearsay, TrialsDoNotGoWithTheNumberOfSidecars) {
+  for (const std::size_t sidecars : {3, 12, 48}) {
+    std::vector<Rig> rigs;
+    for (std::size_t n = 0; n < sidecars; ++n) rigs.emplace_back(plainSettings(), n + 1);
+    for (Rig& rig : rigs) rig.start(10);
+    std::size_t trials = 0;
+    RequestId id = 0;
+    for (int step = 0; step < 200; ++step) {
+      for (std::size_t n = 0; n < sidecars; ++n) {
+        Rig& rig = rigs[n];
+        rig.now += 100 * kMs;
+        rig.feed(bad(4, 3, n == 1));
+        for (int requests = 0; requests < 5; ++requests) {
+          const UpstreamId to = rig.sent(++id);
+          trials += step >= 20 && to == 4 ? 1 : 0;
+          rig.outcome(id, to, to == 4 ? Outcome::Error : Outcome::Ok);
+          if (to == 4)  // goes elsewhere, where it is served
+            for (const Send& again : rig.all<Send>()) rig.outcome(id, again.upstream, Outcome::Ok, 1);
+        }
+      }
+    }
+    EXPECT_LE(trials, 20u) << sidecars;  // 18 s, and a second and more between two
+    EXPECT_GE(trials, 2u) << sidecars;
+  }
+}
+
+}  // namespace
+}  // namespace orchiddrum
