[peers]: sidecars share what they find of upstreams, off by default

src/sidecar/fleet_view carries it out: outcomes of own attempts become judgements, judgements of others who are heard become the module's Hearsay, and a deaf sidecar tells it nothing. News do not wait for the next period: a few others are told to ask, bounded to 8 times a second. The platform's peer_listen and peers are the transport, or the file's address and seeds; GET /status/peers; bad input is one line and changes nothing at SIGHUP.

--- a/src/operator/file.h
+++ b/src/operator/file.h
@@ -14,6 +14,7 @@
 #include "admission/queue.h"
 #include "etcd/options.h"
 #include "levels/ladder.h"
+#include "peers/options.h"
 
 namespace ivypost::op {
 
@@ -36,7 +37,9 @@
   } door;
   struct Status {
     bool level = false;  // GET /status/level on the listening address
+    bool peers = false;  // GET /status/peers likewise
   } status;
+  peers::Options peers;  // without a flaw where they are on
   struct Membership {
     enum class Source : std::uint8_t { Platform, Etcd };
     Source source = Source::Platform;
--- a/src/operator/keys.cpp
+++ b/src/operator/keys.cpp
@@ -176,6 +176,54 @@
           [](const File& file) { return shownList(file.membership.etcd.endpoints); }};
 }
 
+Key seeds() {
+  return {
+      "peers.seeds",
+      "Where others may be found, as \"10.0.0.5:7946\", 64 at the most; a few that rarely move are enough.\n"
+      "Empty: the platform's peers.",
+      [](File& file, Table& table, std::string_view leaf) {
+        file.peers.seeds = table.texts(leaf, peers::kMaxSeeds);
+      },
+      [](const File& file) { return shownList(file.peers.seeds); }};
+}
+
+// Not to be shown at its default, which is no number that may stand there.
+Key sidecars() {
+  return {"peers.sidecars", "",
+          [](File& file, Table& table, std::string_view leaf) {
+            if (table.has(leaf))
+              file.peers.sidecars = table.integer(leaf, 1, static_cast<std::int64_t>(peers::kMaxMembers));
+          },
+          [](const File&) { return std::string(); }};
+}
+
+void addPeers(std::vector<Key>& all) {
+  all.push_back(flag("peers.on", "Sidecars find each other over UDP and share what they find of upstreams.",
+                     [](File& f) -> bool& { return f.peers.on; }));
+  all.push_back(text("peers.address",
+                     "Where the others reach this one, as \"10.0.0.4:7946\". Empty: as the platform says.",
+                     [](File& f) -> std::string& { return f.peers.address; }));
+  all.push_back(text("peers.listen", "Where it listens, if that is another address.",
+                     [](File& f) -> std::string& { return f.peers.listen; }));
+  all.push_back(seeds());
+  all.push_back(
+      text("peers.key_file",
+           "A file of 64 hexadecimal digits, the same at all sidecars; who has it can speak as any of them.",
+           [](File& f) -> std::string& { return f.peers.keyFile; }));
+  all.push_back(sidecars());
+  all.push_back(time("peers.period",
+                     "Between two probes of others; 1 to 2 kB a second are sent at 250ms, in any fleet.",
+                     10'000, [](File& f) -> std::int64_t& { return f.peers.period; }));
+  all.push_back(time("peers.timeout", "A probe's answer, before others are asked to try; over a round trip.",
+                     1000, [](File& f) -> std::int64_t& { return f.peers.timeout; }));
+  all.push_back(
+      time("peers.deaf_after",
+           "With no answer for so long, or with fewer than deaf_part of the sidecars heard, this one is\n"
+           "deaf: it decides as without peers.",
+           40'000, [](File& f) -> std::int64_t& { return f.peers.deafAfter; }));
+  all.push_back(part("peers.deaf_part", "", 0.01, [](File& f) -> double& { return f.peers.deafPart; }));
+}
+
 Key order() {
   return {"admission.order",
           "Classes in the order in which they are favoured under overload, the worthiest first. Those that\n"
@@ -236,6 +284,8 @@
       flag("status.level",
            "GET /status/level on the listening address: the level, its signals and what was refused.",
            [](File& f) -> bool& { return f.status.level; }),
+      flag("status.peers", "GET /status/peers likewise: whom this sidecar hears, and what they have found.",
+           [](File& f) -> bool& { return f.status.peers; }),
       part("door.keep_any",
            "An answer ends its connection when more than this part of the places for clients is taken ...", 0,
            [](File& f) -> double& { return f.door.keepAny; }),
@@ -276,6 +326,7 @@
            [](File& f) -> std::int64_t& { return f.levels.ladder.probation; }),
   };
   addMembership(all);
+  addPeers(all);
   for (std::size_t n = 0; n < levels::kSignals; ++n) all.push_back(smoothing(static_cast<Signal>(n)));
   for (std::size_t level = 1; level < levels::kLevels; ++level) {
     for (std::size_t n = 0; n < levels::kSignals; ++n)
--- a/src/peers/members.cpp
+++ b/src/peers/members.cpp
@@ -34,7 +34,12 @@
 }  // namespace
 
 Members::Members(Settings settings, std::uint64_t seed, Micros now)
-    : settings_(std::move(settings)), random_(seed), lastTick_(now), nextPeriod_(now) {
+    : settings_(std::move(settings)),
+      random_(seed),
+      lastTick_(now),
+      nextPeriod_(now),
+      newsAt_(now),
+      asksAt_(now) {
   settings_.period = std::max<Micros>(settings_.period, 1000);
   settings_.timeout = std::clamp<Micros>(settings_.timeout, 1, settings_.period - 1);
   lastNonce_ = static_cast<std::uint32_t>(random_());
@@ -71,18 +76,14 @@
   if (probe_ && !probe_->acked && !probe_->relayed && now >= probe_->relayAt) {
     probe_->relayed = true;
     const auto target = members_.find(probe_->target);
-    std::vector<const Member*> others;
-    for (const auto& [id, member] : members_)
-      if (member.update.state == State::Alive && id != probe_->target) others.push_back(&member);
-    for (std::uint32_t n = 0; n < settings_.relays && !others.empty() && target != members_.end(); ++n) {
-      const auto at = static_cast<std::size_t>(uniform() * static_cast<double>(others.size()));
-      Message message = make(Kind::Relay, ++lastNonce_);
-      message.target = target->second.update;
-      probe_->relays.push_back(message.nonce);
-      asked_.push_back({message.nonce, now});
-      send(others[at]->update.address, std::move(message), out);
-      others.erase(others.begin() + static_cast<std::ptrdiff_t>(at));
-    }
+    if (target != members_.end())
+      for (const Member* other : someAlive(settings_.relays, probe_->target)) {
+        Message message = make(Kind::Relay, ++lastNonce_);
+        message.target = target->second.update;
+        probe_->relays.push_back(message.nonce);
+        asked_.push_back({message.nonce, now});
+        send(other->update.address, std::move(message), out);
+      }
   }
   if (now >= nextPeriod_) {
     endProbe(now);
@@ -112,6 +113,33 @@
   }
 }
 
+std::vector<const Members::Member*> Members::someAlive(std::uint32_t most, PeerId butNot) {
+  std::vector<const Member*> alive, some;
+  for (const auto& [id, member] : members_)
+    if (member.update.state == State::Alive && id != butNot) alive.push_back(&member);
+  while (some.size() < most && !alive.empty()) {
+    const auto at = static_cast<std::size_t>(uniform() * static_cast<double>(alive.size()));
+    some.push_back(alive[at]);
+    alive[at] = alive.back();
+    alive.pop_back();
+  }
+  return some;
+}
+
+bool Members::takeToken(double& credit, Micros& at, double perSecond, Micros now) {
+  credit = std::min(perSecond, credit + perSecond * static_cast<double>(now - at) / 1e6);
+  at = now;
+  if (credit < 1) return false;
+  credit -= 1;
+  return true;
+}
+
+void Members::announce(Micros now, std::vector<Outgoing>& out) {
+  if (!takeToken(newsCredit_, newsAt_, kNewsPerSecond, now)) return;
+  for (const Member* one : someAlive(kFanOut, settings_.self))
+    send(one->update.address, make(Kind::News, ++lastNonce_), out);
+}
+
 // ---- Messages ---------------------------------------------------------------------------------------------
 
 Message Members::make(Kind kind, std::uint32_t nonce) {
@@ -175,6 +203,10 @@
       relayed_.push_back(one);
       break;
     }
+    case Kind::News:
+      if (takeToken(asksCredit_, asksAt_, kFanOut * kNewsPerSecond, now))
+        ping(message.address, message.sender, now, out);
+      break;
     case Kind::Ack:
     case Kind::Nack:
       heardAnswer(message, now, out);
--- a/src/peers/members.h
+++ b/src/peers/members.h
@@ -52,6 +52,9 @@
 constexpr std::uint32_t kConfirm = 3;
 // Each change is told so many times log2(members + 1) (SWIM, 4.1: lambda log n).
 constexpr double kTold = 3;
+// News go to so many at once, and those who learn of them pass them on; so often a second at the most.
+constexpr std::uint32_t kFanOut = 3;
+constexpr double kNewsPerSecond = 8;
 // A gap between two ticks of so many periods is a stop of this process, not of the others.
 constexpr double kStopped = 4;
 
@@ -77,6 +80,9 @@
   Micros next() const;
   // This sidecar ends: the others need not find out. Nothing is sent after it.
   void leave(std::vector<Outgoing>& out);
+  // There is news that others should not wait a period for: a few are told to ask, as far as kNewsPerSecond
+  // allows.
+  void announce(Micros now, std::vector<Outgoing>& out);
   // A message whose seal was right. False if it is dropped: its own, a replay, or there is no room for it.
   bool receive(const Message& message, Micros now, std::vector<Outgoing>& out);
 
@@ -156,6 +162,8 @@
   void worse(int by);
   double uniform() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
   void judgePart(Micros now);
+  static bool takeToken(double& credit, Micros& at, double perSecond, Micros now);
+  std::vector<const Member*> someAlive(std::uint32_t most, PeerId butNot);
   void answerRelay(Relayed& relayed, Kind kind, std::vector<Outgoing>& out);
   void heardAnswer(const Message& message, Micros now, std::vector<Outgoing>& out);
   bool takeSequence(Member& member, const Message& message, Micros now, std::vector<Outgoing>& out);
@@ -178,6 +186,8 @@
   std::optional<Micros> twinSeen_;   // another process under this one's name
   std::optional<Micros> fewSince_;   // too few are heard
   std::uint64_t periods_ = 0;
+  double newsCredit_ = kNewsPerSecond, asksCredit_ = kNewsPerSecond;  // token buckets of a second
+  Micros newsAt_, asksAt_;
   PeerId lastTold_ = 0;  // whose state went out last without being news
   std::vector<Change> changes_;
 };
--- a/src/peers/message.cpp
+++ b/src/peers/message.cpp
@@ -95,7 +95,7 @@
   Message message;
   if (from.get<std::uint8_t>() != kVersion) return std::nullopt;
   const auto kind = from.get<std::uint8_t>();
-  if (kind < static_cast<std::uint8_t>(Kind::Ping) || kind > static_cast<std::uint8_t>(Kind::Nack))
+  if (kind < static_cast<std::uint8_t>(Kind::Ping) || kind > static_cast<std::uint8_t>(Kind::News))
     return std::nullopt;
   message.kind = static_cast<Kind>(kind);
   message.sender = from.get<PeerId>();
--- a/src/peers/message.h
+++ b/src/peers/message.h
@@ -62,6 +62,7 @@
   Ack = 2,    // of the ping with this nonce
   Relay = 3,  // ping `target` and pass its ack on
   Nack = 4,   // the relayed ping has no answer yet (Lifeguard, 3.1): the relay itself is there
+  News = 5,   // there are new facts: ask for them by a ping
 };
 
 struct Message {
--- a/src/peers/peers_io.cpp
+++ b/src/peers/peers_io.cpp
@@ -107,9 +107,13 @@
   std::vector<Outgoing> out;
   if (!members_.receive(*message, at, out)) {
     if (message->sender != members_.settings().self) ++counts_.replayed;
-  } else if (late && !message->facts.empty() && !callbacks_.told(message->facts, *late)) {
-    ++counts_.malformed;
-    complain("facts that are none");
+  } else if (late && !message->facts.empty()) {
+    const auto news = callbacks_.told(message->facts, *late);
+    if (news && *news) members_.announce(at, out);
+    if (!news) {
+      ++counts_.malformed;
+      complain("facts that are none");
+    }
   }
   send(out);
   arm();
@@ -148,6 +152,12 @@
   for (const Change& change : members_.takeChanges()) callbacks_.changed(change);
 }
 
+void PeersIo::announce() {
+  std::vector<Outgoing> out;
+  members_.announce(now(), out);
+  send(out);
+}
+
 void PeersIo::leave() {
   std::vector<Outgoing> out;
   members_.leave(out);
--- a/src/peers/peers_io.h
+++ b/src/peers/peers_io.h
@@ -14,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -31,8 +32,9 @@
   struct Callbacks {
     // Facts for a message, of so many bytes at the most.
     std::function<std::vector<std::uint8_t>(std::size_t room)> tell;
-    // Facts of an answer, that were on the way for so long at the most. False: they are none.
-    std::function<bool(std::span<const std::uint8_t> facts, Micros late)> told;
+    // Facts of an answer, that were on the way for so long at the most: whether they were news; none: they
+    // are no facts.
+    std::function<std::optional<bool>(std::span<const std::uint8_t> facts, Micros late)> told;
     std::function<void(const Change&)> changed;
     std::function<void(const std::string& line)> log;
   };
@@ -49,6 +51,8 @@
   PeersIo(const PeersIo&) = delete;
   PeersIo& operator=(const PeersIo&) = delete;
 
+  // There are new facts.
+  void announce();
   // This sidecar ends. Nothing is sent after it.
   void leave();
 
--- a/src/shared/judgements.h
+++ b/src/shared/judgements.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <utility>
 #include <vector>
@@ -65,11 +66,16 @@
  public:
   static constexpr Micros kWindow = 5'000'000;
   static constexpr std::size_t kMost = 16;  // outcomes remembered
-  // Of those the last so many at least, and more than half of all, failed: chance and one bad moment do not.
+  // So many, and more than half of all, have failed: chance and one bad moment do not. One attempt without an
+  // answer is enough where nothing was served since it was sent: it took the client's whole time.
   static constexpr std::uint16_t kFailures = 2;
+  // And the last so many were served: it is well again, whatever was before. Of one that fails four in five,
+  // three in a row are served once in 125 times.
+  static constexpr std::uint16_t kServed = 3;
 
   enum class Outcome : std::uint8_t { Served, Failed, Silent };
-  void take(Outcome outcome, Micros now);
+  // `lag`: since the attempt was sent.
+  void take(Outcome outcome, Micros lag, Micros now);
   // As of its last outcome; attempts 0: nothing.
   Judgement judge(Micros now) const;
   Micros last() const { return last_; }
@@ -77,6 +83,8 @@
  private:
   std::vector<std::pair<Micros, Outcome>> outcomes_;
   Micros last_ = 0;
+  std::optional<Micros> servedAt_;
+  bool silent_ = false;  // it has served nothing since an attempt was sent that got no answer
 };
 
 class Judgements {
@@ -84,13 +92,13 @@
   // `version`: higher than any that this witness told in an earlier life; Unix time in microseconds does.
   Judgements(PeerId self, std::uint64_t version) : self_(self), version_(version) {}
 
-  // The end of an own attempt. What it changes is told.
-  void attempted(const Life& life, Evidence::Outcome outcome, Micros now);
+  // The end of an own attempt. What it changes is told; true: this sidecar finds otherwise than before.
+  bool attempted(const Life& life, Evidence::Outcome outcome, Micros lag, Micros now);
 
-  // Takes what was told. `late`: the time on the way, at the most. False for bytes that are no judgements;
-  // those ahead of the flaw count.
-  bool take(std::span<const std::uint8_t> facts, Micros late, Micros now);
-  void take(const Judgement& told, Micros late, Micros now);
+  // Takes what was told. `late`: the time on the way, at the most. Whether a witness was new or finds
+  // otherwise than before; none for bytes that are no judgements, and those ahead of the flaw count.
+  std::optional<bool> take(std::span<const std::uint8_t> facts, Micros late, Micros now);
+  bool take(const Judgement& told, Micros late, Micros now);
   // Judgements for one message of so many bytes: the news first, then the others in turn.
   std::vector<std::uint8_t> tell(std::size_t room, Micros now);
   // How often news are told, from the number of sidecars: as members' changes are.
--- a/src/sidecar/config.cpp
+++ b/src/sidecar/config.cpp
@@ -13,6 +13,7 @@
 #include <string_view>
 
 #include "console/console_io.h"
+#include "peers/options.h"
 
 namespace ivypost {
 namespace {
@@ -78,6 +79,24 @@
   }
 }
 
+// Likewise: what [peers] of the operator's file needs it says itself where this is missing.
+void readPeers(const json& file, Config& config) {
+  const auto address = [](const json& text) {
+    const auto read = peers::parseAddress(text.get<std::string>());
+    if (!read) bad("no IPv4 address and port:", text.dump());
+    return *read;
+  };
+  try {
+    if (file.contains("peer_listen")) config.peerListen = address(file["peer_listen"]);
+    if (!file.contains("peers")) return;
+    for (const json& one : file["peers"]) config.peers.push_back(address(one));
+  } catch (const std::exception& error) {
+    config.peerListen.reset();
+    config.peers.clear();
+    config.site.remarks.push_back(std::string("the platform's peers are left out: ") + error.what());
+  }
+}
+
 std::uint64_t toSeed(const std::string& text) {
   std::uint64_t seed = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
@@ -158,6 +177,7 @@
     flatten(settings, "", line);
     config.site = orchiddrum::readSite(orchiddrum::Line(line));
     config.listener = toListener(config.listen, config.site.remarks);
+    readPeers(file, config);
     if (file.contains("known")) config.known = toKnown(file["known"], config.site.remarks);
   } catch (const json::exception& error) {
     throw FormatError(error.what());
--- a/src/sidecar/config.h
+++ b/src/sidecar/config.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "membership/instance.h"
+#include "peers/message.h"
 #include "settings.h"
 
 namespace ivypost {
@@ -21,6 +22,10 @@
   std::string name;
   Endpoint listen, discovery;
   std::optional<Endpoint> console;  // the operators' address; none: off
+  // Where this sidecar hears the others, and where each of them is reached, by number; none: the platform
+  // gives none.
+  std::optional<peers::Address> peerListen;
+  std::vector<peers::Address> peers;
   // The platform's listening socket for clients; none: this process makes its own.
   std::optional<int> listener;
   std::string tempFolder;  // that outlives the process while it is replaced; empty: none
--- /dev/null
+++ b/src/sidecar/fleet_view.h
@@ -0,0 +1,88 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// Carries out what sidecars know together: membership and judgements in, hearsay for the module out. Exists
+// only where the operator's file has [peers] on.
+//
+// What holds always: the module hears of an upstream's judgements only while this sidecar is not deaf, and
+// what it has heard lapses by its own clock within kHolds. So who is deaf decides as without peers within
+// Settings::deafAfter and kHolds, also right after a stop of the process, before any message or timer.
+#ifndef IVYPOST_FLEET_VIEW_H_
+#define IVYPOST_FLEET_VIEW_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "clock.h"
+#include "config.h"
+#include "orchiddrum/balancer.h"
+#include "peers/options.h"
+#include "peers/peers_io.h"
+#include "shared/judgements.h"
+
+namespace ivypost {
+
+class FleetView {
+ public:
+  // Between two looks at what is known, and how long the module goes by one.
+  static constexpr std::chrono::milliseconds kEvery{100};
+  static constexpr Micros kHolds = 500'000;
+
+  // An upstream of the list, by what others call it.
+  struct Listed {
+    shared::Life life;
+    UpstreamId upstream = 0;
+    Micros launchedAt = 0;  // as the module was told
+    std::string id;
+  };
+  struct Callbacks {
+    std::function<std::vector<Listed>()> listed;
+    std::function<void(const orchiddrum::Hearsay&)> hearsay;
+    std::function<void(const std::string&)> log;
+  };
+  // What the options come to for this sidecar.
+  struct Place {
+    peers::Settings settings;
+    peers::Address listen;
+    peers::Seal seal;
+  };
+
+  // Throws orchiddrum::FormatError, one line that names the key and the mend, where they can't be used here:
+  // no own address, or a key file that can't be read.
+  static Place placeOf(const peers::Options& options, const Config& config);
+
+  FleetView(boost::asio::io_context& io, const Place& place, std::uint64_t seed, Callbacks callbacks);
+
+  // The end of an attempt at an upstream in this life, so long after it was sent.
+  void attempted(const shared::Life& life, orchiddrum::Outcome outcome, Micros lag);
+  // This sidecar ends, or the operator has switched it off.
+  void leave();
+
+  bool deaf() const { return io_.members().deaf(now()); }
+  const peers::PeersIo& peers() const { return io_; }
+  const shared::Judgements& judgements() const { return judgements_; }
+  // For GET /status/peers: whom it hears, what part that is, judgements with witnesses and ages, bytes.
+  nlohmann::json status() const;
+
+ private:
+  void look();
+  void lookLater(std::chrono::milliseconds wait);
+
+  Callbacks callbacks_;
+  shared::Judgements judgements_;
+  boost::asio::steady_timer timer_;
+  peers::PeersIo io_;
+  bool wasDeaf_ = true;
+  Micros countedAt_ = 0;
+  std::uint64_t countedBytes_ = 0;
+  double bytesPerSecond_ = 0;
+};
+
+}  // namespace ivypost
+
+#endif  // IVYPOST_FLEET_VIEW_H_
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -642,7 +642,7 @@
              [this](RequestId id, admission::Verdict why) {
                answer(id, refusal(std::string("refused: ") + admission::nameOf(why)));
              }}),
-      statusOn_(file.status.level) {
+      statusOn_(file.status) {
   if (config.listener) {
     acceptor_.assign(config.listen.protocol(), *config.listener);
   } else {
@@ -765,7 +765,7 @@
 }
 
 void Server::adopt(const op::File& file) {
-  statusOn_ = file.status.level;
+  statusOn_ = file.status;
   door_.adopt(doorSettings(config_, file));
   gate_.adopt(file);
 }
@@ -796,9 +796,10 @@
     if (!isGet) return plain(405, "GET only");
     return effects_.ready ? plain(200, "ready") : plain(503, "not ready");
   }
-  if (statusOn_ && path == "/status/level") {
+  const bool level = statusOn_.level && path == "/status/level";
+  if (level || (statusOn_.peers && path == "/status/peers")) {
     if (!isGet) return plain(405, "GET only");
-    Answer answer = plain(200, callbacks_.status());
+    Answer answer = plain(200, level ? callbacks_.status() : callbacks_.peers());
     answer.contentType = "application/json";
     return answer;
   }
--- a/src/sidecar/server.h
+++ b/src/sidecar/server.h
@@ -45,8 +45,9 @@
     std::function<void(ClientRequest)> taken;
     // The client has left, or the deadline passed with no answer and the server gave one itself.
     std::function<void(orchiddrum::RequestId)> over;
-    // What GET /status/level answers, as JSON; asked only where the operator has switched it on.
-    std::function<std::string()> status;
+    // What GET /status/level and /status/peers answer, as JSON; asked only where the operator has switched it
+    // on.
+    std::function<std::string()> status, peers;
     // All that was taken is answered, or has to be left, and the lifecycle lets the process end.
     std::function<void()> ended;
   };
@@ -110,7 +111,7 @@
   const std::shared_ptr<Deadlines> deadlines_;  // of the sessions
   admission::Door door_;
   Gate gate_;
-  bool statusOn_;
+  op::File::Status statusOn_;
   lifecycle::Effects effects_;  // nothing yet
   bool accepting_ = false;      // the next connection is waited for
   bool waitsForRoom_ = false;   // accepting does
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -65,6 +65,7 @@
       server_(io, config_, file, budget_,
               {[this](ClientRequest client) { onTaken(std::move(client)); },
                [this](RequestId id) { onOver(id); }, [this] { return status(); },
+               [this] { return fleet_ ? fleet_->status().dump() : std::string("{}"); },
                [this] {
                  if (stopped_) stopped_();
                }}),
@@ -76,6 +77,8 @@
       rotationTimer_(io),
       consoleTimer_(io) {
   level_.adopt(file.levels);
+  peersAs_ = file.peers;
+  fleet_ = viewOf(peersAs_);
   follow(file.membership, config_.discovery);
   if (config_.console) {
     if (auto kept = rotationFile_.read()) rotation_ = std::move(*kept);
@@ -91,6 +94,7 @@
 void Sidecar::stop(std::function<void()> stopped) {
   if (lifecycle_.state() == lifecycle::State::Stopping) return;
   stopped_ = std::move(stopped);
+  if (fleet_) fleet_->leave();
   onLifecycle(lifecycle::Event::Terminate);
 }
 
@@ -100,7 +104,15 @@
 
 void Sidecar::reload(const Config& config, const op::File& file) {
   server_.gate().check(file);
+  if (file.peers.on && !(file.peers == peersAs_)) FleetView::placeOf(file.peers, config_);
   follow(file.membership, config.discovery);
+  if (!(file.peers == peersAs_)) {
+    if (fleet_) fleet_->leave();
+    fleet_.reset();
+    peersAs_ = file.peers;
+    fleet_ = viewOf(peersAs_);
+    log(fleet_ ? "peers: on, as the operator's file has it now" : "peers: off");
+  }
   membership_.platformMoved(config.discovery);
   server_.adopt(file);
   level_.adopt(file.levels);
@@ -189,6 +201,8 @@
   Attempt& attempt = request.attempts.at(end.id.number);
   attempt.mayHaveRun = !provesNeverRan(end.outcome);
   --request.out;
+  if (const Known& known = known_[attempt.upstream]; fleet_ && known.listed)
+    fleet_->attempted(lifeOf(known), end.outcome, duration_cast<microseconds>(end.lag).count());
   if (end.outcome != Outcome::Cancelled) level_.attemptEnded(end.outcome != Outcome::Ok);
   orchiddrum::AttemptOutcome event;
   event.request = end.id.request;
@@ -398,6 +412,30 @@
   return {200, std::string(change == Change::None ? "already " : "") + (out ? "excluded" : "included")};
 }
 
+// ---- Peers
+// ------------------------------------------------------------------------------------------------------
+
+std::unique_ptr<FleetView> Sidecar::viewOf(const peers::Options& options) {
+  if (!options.on) return nullptr;
+  return std::make_unique<FleetView>(
+      io_, FleetView::placeOf(options, config_), config_.seed,
+      FleetView::Callbacks{[this] { return listed(); },
+                           [this](const orchiddrum::Hearsay& hearsay) { handle(hearsay); }, log});
+}
+
+shared::Life Sidecar::lifeOf(const Known& known) const {
+  return {orchiddrum::identity(known.id), known.startedAtMs};
+}
+
+std::vector<FleetView::Listed> Sidecar::listed() const {
+  std::vector<FleetView::Listed> all;
+  for (UpstreamId upstream = 0; upstream < known_.size(); ++upstream) {
+    const Known& known = known_[upstream];
+    if (known.listed) all.push_back({lifeOf(known), upstream, launchedAt(known.startedAtMs), known.id});
+  }
+  return all;
+}
+
 // ---- Levels
 // ---------------------------------------------------------------------------------------------------
 
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -18,6 +18,7 @@
 
 #include "config.h"
 #include "console/console_io.h"
+#include "fleet_view.h"
 #include "lifecycle/lifecycle.h"
 #include "membership/membership.h"
 #include "membership/platform.h"
@@ -53,6 +54,8 @@
   lifecycle::State state() const { return lifecycle_.state(); }
   // None: there is no console, or it could not be bound yet.
   std::optional<std::uint16_t> consolePort() const;
+  // None: peers are off.
+  const FleetView* fleet() const { return fleet_.get(); }
   membership::Freshness freshness() const { return membership_.freshness(); }
   // For tests: the upstreams' numbers, in use and free; connections to them that are not up yet.
   std::size_t upstreamNumbers() const { return known_.size(); }
@@ -101,6 +104,8 @@
   void onLevel(levels::Level level);
   levels::Gauges gauges();
   std::string status() const;
+  std::unique_ptr<FleetView> viewOf(const peers::Options& options);
+  std::vector<FleetView::Listed> listed() const;
 
   // Gives the module one event and carries out what it answers.
   void handle(const orchiddrum::Event& event);
@@ -125,6 +130,7 @@
   void dropUse(UpstreamId upstream);
   void freeUnused(UpstreamId upstream);
   Micros launchedAt(std::int64_t startedAtMs) const;
+  shared::Life lifeOf(const Known& known) const;
   Instance laidOver(const Instance& told) const;
 
   boost::asio::io_context& io_;
@@ -154,6 +160,8 @@
   rotation::Rotation rotation_;
   rotation::RotationFile rotationFile_;
   boost::asio::steady_timer rotationTimer_, consoleTimer_;
+  peers::Options peersAs_;            // as the operator has set them
+  std::unique_ptr<FleetView> fleet_;  // none: off
   bool consoleFailed_ = false;
   std::unique_ptr<console::Console> console_;
 };
--- a/tests/operator/file_test.cpp
+++ b/tests/operator/file_test.cpp
@@ -54,6 +54,7 @@
     std::string text =
         "[" + std::string(key.section()) + "]\n" + std::string(key.leaf()) + " = " + value + "\n";
     if (key.path == "door.keep_any") text += "keep_used = 0.9\n";
+    if (key.path == "peers.on") text += "key_file = \"k\"\n";
     if (key.path == "admission.target") text += "interval = \"200ms\"\n";
     if (key.path == "membership.source") text += "[membership.etcd]\nendpoints = [\"10.0.0.4:2379\"]\n";
     if (key.path == "levels.max_calm") text += "calm = \"100ms\"\n";
@@ -104,6 +105,17 @@
        "op.toml:1: membership: etcd.endpoints: 'http://etcd:2379' is a name, and names = false: this "
        "platform "
        "has no DNS; give an address"},
+      {"[peers]\non = true\n",
+       "op.toml:1: peers: key_file is missing: a file of 64 hexadecimal digits, the same everywhere"},
+      {"[peers]\non = true\nkey_file = \"k\"\naddress = \"here:1\"\n",
+       "op.toml:1: peers: address: 'here:1' is no address as 10.0.0.4:7946"},
+      {"[peers]\non = true\nkey_file = \"k\"\nseeds = [\"10.0.0.1:7946\", \"10.0.0.2\"]\n",
+       "op.toml:1: peers: seeds: '10.0.0.2' is no address as 10.0.0.4:7946"},
+      {"[peers]\nsidecars = 0\n", "op.toml:2: peers.sidecars: 0 is out of range; allowed is 1 to 4096"},
+      {"[peers]\non = true\nkey_file = \"k\"\ntimeout = \"300ms\"\n",
+       "op.toml:1: peers: timeout has to be under period"},
+      {"[peers]\non = true\nkey_file = \"k\"\ndeaf_after = \"900ms\"\n",
+       "op.toml:1: peers: deaf_after has to be at least four times period"},
       {"levels = 3\n", "op.toml:1: levels: 3 stands where a table belongs"},
   };
   for (const auto& [text, error] : rows) EXPECT_EQ(errorOf(text), error) << text;
