--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -521,6 +521,7 @@
                 {[&](const ClientRequest& request) { taken.push_back(request.id); },
                  [&](orchiddrum::RequestId id) { over.push_back(id); },
                  {},
+                 {},
                  {}});
   server.follow(lifecycle::Lifecycle({}, 0).effects());
   const Client from(io, server.port());
