A fuzz target for what other sidecars send; who is back after leaving counts again

In its first seconds it found a counter of those who have left that was not taken back when one came back (the witness was overwritten ahead of the count): known() fell, and the part heard rose over one. It is derived from the members now; a test in made-up time causes it. 60 s after that found nothing more.

--- a/src/peers/members.cpp
+++ b/src/peers/members.cpp
@@ -91,7 +91,6 @@
       Member& member = at->second;
       if (member.update.state == State::Suspect && now >= member.deadline) become(member, State::Dead, now);
       const bool over = member.update.state == State::Dead && now - member.since > settings_.forget;
-      if (over) left_ -= member.left() ? 1 : 0;
       at = over ? members_.erase(at) : std::next(at);
     }
     beginProbe(now, out);
@@ -398,14 +397,12 @@
 }
 
 void Members::become(Member& member, State state, Micros now) {
-  const bool wasLeft = member.left();
   const State before = member.update.state;
   if (state != State::Dead) member.update.witness = 0;
   if (before == State::Dead && state != State::Dead) ++alive_;
   if (before != State::Dead && state == State::Dead) --alive_;
   member.update.state = state;
   if (state == State::Alive) member.witnesses.clear();
-  left_ += (member.left() ? 1 : 0) - (wasLeft ? 1 : 0);
   member.since = now;
   member.tellings = tellings();
   if (before == State::Dead && state == State::Alive) order_.push_back(member.update.id);
@@ -442,6 +439,11 @@
   return static_cast<std::uint32_t>(std::ceil(kTold * std::log2(static_cast<double>(members_.size()) + 2)));
 }
 
+std::size_t Members::known() const {
+  return static_cast<std::size_t>(
+      std::count_if(members_.begin(), members_.end(), [](const auto& one) { return !one.second.left(); }));
+}
+
 double Members::part() const {
   const double should = std::ceil(static_cast<double>(settings_.expected) / kWrongBy);
   return static_cast<double>(heard()) / std::max(static_cast<double>(known() + 1), should);
--- a/src/peers/members.h
+++ b/src/peers/members.h
@@ -104,7 +104,7 @@
   // Of those heard, whose turn it is at this thing (rendezvous hashing, Thaler and Ravishankar 1998): the
   // same for all who hear the same ones, and handed on when that one is not heard any more.
   PeerId turnAt(std::uint64_t thing) const;
-  std::size_t known() const { return members_.size() - left_; }  // but this one and those that have left
+  std::size_t known() const;  // but this one and those that have left
   int health() const { return health_; }
   const Settings& settings() const { return settings_; }
   std::uint64_t incarnation() const { return settings_.incarnation; }
@@ -172,7 +172,6 @@
   std::mt19937_64 random_;
   std::map<PeerId, Member> members_;  // but this one
   std::size_t alive_ = 0;             // of them; the suspected count until they are dead
-  std::size_t left_ = 0;              // of them, by their own word
   std::vector<PeerId> order_;         // to be probed, in turn; shuffled anew at its end (SWIM, 4.3)
   std::size_t nextInOrder_ = 0;
   std::optional<Probe> probe_;
--- /dev/null
+++ b/tests/peers/fuzz.cpp
@@ -0,0 +1,92 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// A fuzz target (libFuzzer) for all that comes from another sidecar behind the seal: datagrams one after the
+// other, with time between them, into membership and judgements. Built without a fuzzer it plays the files
+// that it is given. tests/peers/fuzz.sh builds and runs it by hand; CI plays the corpus.
+//
+// The input: for each datagram its length (one byte), the time since the last one in units of 5 ms (one
+// byte), and its bytes without the seal.
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <span>
+#include <vector>
+
+#include "peers/members.h"
+#include "shared/judgements.h"
+
+namespace {
+
+using namespace ivypost;
+
+void require(bool holds, const char* what) {
+  if (holds) return;
+  std::fprintf(stderr, "does not hold: %s\n", what);
+  std::abort();
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  peers::Settings settings;
+  settings.self = 1;
+  settings.address = {0x7f000001, 1};
+  settings.seeds = {{0x7f000001, 2}};
+  settings.expected = 12;
+  peers::Members members(settings, 1, 0);
+  shared::Judgements judgements(1, 1);
+  peers::Micros now = 1'000'000'000;
+  std::span<const std::uint8_t> input(data, size);
+  std::uint64_t sequence = 0;
+  while (input.size() > 2) {
+    const std::size_t length = std::min<std::size_t>(input[0], input.size() - 2);
+    now += input[1] * 5000;
+    const auto datagram = input.subspan(2, length);
+    input = input.subspan(2 + length);
+    std::vector<peers::Outgoing> out;
+    members.tick(now, out);
+    auto message = peers::decode(datagram);
+    if (message) {
+      require(peers::encode(*message).size() + peers::kSealBytes <= peers::kMaxDatagram, "a message fits");
+      // A fuzzer would hardly count up by itself, nor answer a ping that it can't see.
+      message->sequence = ++sequence;
+      for (const peers::Outgoing& one : out)
+        if (one.message.kind == peers::Kind::Ping && message->kind == peers::Kind::Ack)
+          message->nonce = one.message.nonce;
+      const auto late = members.asked(*message, now);
+      require(!late || *late <= settings.deafAfter, "an answer that counts is fresh");
+      if (members.receive(*message, now, out) && late) judgements.take(message->facts, *late, now);
+    }
+    require(out.size() <= 16, "one datagram causes few");
+    for (const peers::Outgoing& one : out)
+      require(peers::encode(one.message).size() + peers::kSealBytes <= peers::kMaxDatagram,
+              "what is sent fits");
+    require(members.known() <= peers::kMaxMembers, "the table's bound");
+    require(members.heard() <= members.known() + 1, "heard are known");
+    require(members.part() > 0 && members.part() <= 1, "a part");
+    require(judgements.size() <= shared::kMaxLives * shared::kMaxWitnesses, "the judgements' bound");
+    for (const shared::Judgement& one : judgements.all(now))
+      require(one.age >= 0 && one.age < shared::kLives, "none is too old");
+    require(judgements.tell(138, now).size() <= 138, "facts fit their room");
+  }
+  return 0;
+}
+
+#ifndef IVYPOST_FUZZER
+int main(int argc, char** argv) {
+  int played = 0;
+  for (int n = 1; n < argc; ++n, ++played) {
+    std::ifstream file(argv[n], std::ios::binary);
+    const std::vector<char> bytes{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    if (!file) {
+      std::fprintf(stderr, "cannot read %s\n", argv[n]);
+      return 1;
+    }
+    LLVMFuzzerTestOneInput(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
+  }
+  std::printf("%d inputs played\n", played);
+  return played > 0 ? 0 : 1;
+}
+#endif
--- a/tests/peers/members_test.cpp
+++ b/tests/peers/members_test.cpp
@@ -185,6 +185,11 @@
   }
   EXPECT_TRUE(net.until([&] { return allHear(net, 4); }, 3 * kSecond));
   EXPECT_DOUBLE_EQ(net.at(0).part(), 1.0);
+  EXPECT_EQ(net.at(0).known(), 3u);
+  // Found by the fuzz target: who is back after it had left was not counted among the known again.
+  for (std::size_t n = 4; n < 12; ++n) net.start(n, 12);
+  EXPECT_TRUE(net.until([&] { return allHear(net, 12); }, 10 * kSecond));
+  EXPECT_TRUE(net.all([](Members& one) { return one.known() == 11; }));
 }
 
 // What one sends a second does not grow with the fleet; S wrong by four times either way changes nothing.
--- a/tests/peers/processes_test.cpp
+++ b/tests/peers/processes_test.cpp
@@ -94,12 +94,16 @@
   options.happened = [&](const std::string&) {
     if (!first) first = standins::nowMicros();
   };
+  // What comes behind the last whole second is the end of the play, when all leave.
+  Micros lastSecond = 0;
+  options.second = [&](const Second&) { lastSecond = standins::nowMicros(); };
   std::vector<std::pair<Micros, std::string>> logged;
   options.sidecarLog = [&](const std::string& line) { logged.emplace_back(standins::nowMicros(), line); };
   options.built = std::move(built);
   play.result = Fleet(parseScenario(text, "p"), options).play();
   std::filesystem::remove_all(work);
   for (const auto& [at, line] : logged) {
+    if (at > lastSecond) break;
     const auto colon = line.find(": ");
     play.lines.push_back({at - first.value_or(at),
                           static_cast<std::uint32_t>(std::stoi(line.substr(1, colon - 1))),
