--- a/src/peers/peers_io.cpp
+++ b/src/peers/peers_io.cpp
@@ -26,11 +26,11 @@
 
 }  // namespace
 
-PeersIo::PeersIo(asio::io_context& io, const Settings& settings, const Address& listen, Seal seal,
+PeersIo::PeersIo(asio::io_context& io, const Settings& settings, const Address& listen, const Seal& seal,
                  std::uint64_t seed, Callbacks callbacks)
     : io_(io),
       listen_(endpointOf(listen)),
-      seal_(std::move(seal)),
+      seal_(seal),
       callbacks_(std::move(callbacks)),
       members_(settings, seed, now()),
       socket_(io),
--- a/src/peers/peers_io.h
+++ b/src/peers/peers_io.h
@@ -46,7 +46,7 @@
   };
 
   // `listen`: where to bind; tried again each second while it is taken, as while a process is replaced.
-  PeersIo(boost::asio::io_context& io, const Settings& settings, const Address& listen, Seal seal,
+  PeersIo(boost::asio::io_context& io, const Settings& settings, const Address& listen, const Seal& seal,
           std::uint64_t seed, Callbacks callbacks);
   PeersIo(const PeersIo&) = delete;
   PeersIo& operator=(const PeersIo&) = delete;
