Plays of processes: all killed at once, a node back in another life, a name taken twice

Three more hard cases with real processes: twelve killed together find each other anew; judgements of a node's old life take nobody out after it is back under its address; a sidecar whose name another process uses goes by itself, the others not.

--- a/tests/peers/processes_test.cpp
+++ b/tests/peers/processes_test.cpp
@@ -178,20 +178,68 @@
   }
 }
 
+TEST(Processes, AllKilledAtOnceFindEachOtherAnew) {
+  const Play killed = play("[[event]]\nat = \"3s\"\ndo = \"kill\"\nshare = 1\nfor = \"500ms\"\n", 12, 10);
+  for (std::uint32_t n = 1; n <= 12; ++n) {
+    EXPECT_FALSE(killed.endsDeaf(n)) << n;
+    EXPECT_EQ(killed.missedAtTheEnd(n), 0u) << n;
+  }
+}
+
+// A node hangs, dies and is back under its address while all still hold judgements of its old life.
+TEST(Processes, JudgementsOfAnEarlierLifeTakeNobodyOut) {
+  const Play restarted = play(
+      "[[event]]\nat = \"3s\"\ndo = \"hang\"\nnode = 1\nfor = \"2s\"\n"
+      "[[event]]\nat = \"5100ms\"\ndo = \"die\"\nnode = 1\n"
+      "[[event]]\nat = \"5300ms\"\ndo = \"start\"\nnode = 1\n",
+      12, 11);
+  EXPECT_GE(restarted.everywhere("upstream ejected", 0, 3 * kSecond), 6u);
+  // Told a second after the start; a judgement lives for 12 s.
+  EXPECT_EQ(restarted.everywhere("upstream ejected", 4 * kSecond), 0u);
+}
+
+struct Guest {
+  peers::Settings settings;
+  peers::Seal seal{{}};
+};
+
+// A member under this name that knows the fleet's key and where all of it listens.
+Guest guestAs(asio::io_context& io, const std::string& name, const std::vector<std::string>& listens) {
+  Guest guest;
+  udp::socket free(io, udp::endpoint(asio::ip::address_v4::loopback(), 0));
+  guest.settings.self = peers::idOf(name);
+  guest.settings.address = {0x7f000001, free.local_endpoint().port()};
+  guest.settings.incarnation = 1;
+  for (const std::string& listen : listens) guest.settings.seeds.push_back(*peers::parseAddress(listen));
+  std::array<std::uint8_t, peers::kKeyBytes> key{};
+  key.fill(0xaa);
+  guest.seal = peers::Seal(key);
+  return guest;
+}
+
+std::shared_ptr<void> join(asio::io_context& io, const Guest& guest,
+                           std::function<std::vector<std::uint8_t>(std::size_t)> tell) {
+  return std::make_shared<peers::PeersIo>(
+      io, guest.settings, guest.settings.address, guest.seal, 3,
+      peers::PeersIo::Callbacks{std::move(tell),
+                                [](std::span<const std::uint8_t>, Micros) { return std::optional(false); },
+                                [](const peers::Change&) {}, [](const std::string&) {}});
+}
+
+// The first sidecar's name is another process's too: it goes by itself, and nobody else is deaf for it.
+TEST(Processes, WhoseNameIsTakenGoesByItself) {
+  const Play twins = play("", 6, 8, [&](asio::io_context& io, const std::vector<std::string>& listens) {
+    return join(io, guestAs(io, "s1", listens), [](std::size_t) { return std::vector<std::uint8_t>(); });
+  });
+  for (std::uint32_t n = 1; n <= 6; ++n) EXPECT_EQ(twins.endsDeaf(n), n == 1) << n;
+}
+
 // One with the key that says of every node that it fails, under its own name.
 TEST(Processes, OneThatLiesTakesNobodyOut) {
   std::uint64_t told = 0, version = 1;
   const Play lies = play("", 6, 10, [&](asio::io_context& io, const std::vector<std::string>& listens) {
-    udp::socket free(io, udp::endpoint(asio::ip::address_v4::loopback(), 0));
-    peers::Settings settings;
-    settings.self = peers::idOf("liar");
-    settings.address = {0x7f000001, free.local_endpoint().port()};
-    settings.incarnation = 1;
-    for (const std::string& listen : listens) settings.seeds.push_back(*peers::parseAddress(listen));
-    free.close();
-    std::array<std::uint8_t, peers::kKeyBytes> key{};
-    key.fill(0xaa);
-    const auto tell = [&told, &version, self = settings.self](std::size_t room) {
+    const Guest guest = guestAs(io, "liar", listens);
+    const auto tell = [&told, &version, self = guest.settings.self](std::size_t room) {
       shared::Judgements judgements(self, version += 1000);
       for (int node = 1; node <= 8; ++node)
         for (int failures = 0; failures < 3; ++failures)
@@ -200,11 +248,7 @@
       ++told;
       return judgements.tell(room, standins::nowMicros());
     };
-    return std::make_shared<peers::PeersIo>(
-        io, settings, settings.address, peers::Seal(key), 3,
-        peers::PeersIo::Callbacks{tell,
-                                  [](std::span<const std::uint8_t>, Micros) { return std::optional(false); },
-                                  [](const peers::Change&) {}, [](const std::string&) {}});
+    return join(io, guest, tell);
   });
   EXPECT_GT(told, 20u) << "it was asked";
   EXPECT_EQ(lies.everywhere("upstream ejected"), 0u);
