At SIGHUP the old view of the fleet goes behind its own queued handlers

Seen on reading: a handler of its timer or socket that was due in the same turn of the loop as the signal would have run on an object that had gone. It is destroyed by a posted handler now, which comes after those. By hand: on, a bad address (one line, nothing changes), off, on again, SIGTERM: exit 0. The 206 sidecar tests pass.

--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -2,6 +2,7 @@
 #include "sidecar.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <chrono>
 #include <cstdio>
 #include <nlohmann/json.hpp>
@@ -107,8 +108,11 @@
   if (file.peers.on && !(file.peers == peersAs_)) FleetView::placeOf(file.peers, config_);
   follow(file.membership, config.discovery);
   if (!(file.peers == peersAs_)) {
-    if (fleet_) fleet_->leave();
-    fleet_.reset();
+    if (fleet_) {
+      fleet_->leave();
+      // Guards against its handlers that are queued already: it goes behind them.
+      asio::post(io_, [old = std::move(fleet_)] {});
+    }
     peersAs_ = file.peers;
     fleet_ = viewOf(peersAs_);
     log(fleet_ ? "peers: on, as the operator's file has it now" : "peers: off");
