The order of probes is bounded against members that come and go

Found on reading: each return of a dead member put it into the order of probes once more, and one goes from it in a period. Who has the key could grow it without end by ever new incarnations. It holds 4,096 at the most now; the one that is left out stands in the next order. The bucket of asks began with 8 where it holds 24.

--- a/src/peers/members.cpp
+++ b/src/peers/members.cpp
@@ -372,7 +372,8 @@
     // Where it comes into the order of probes is chance (SWIM, 4.3).
     const auto at = nextInOrder_ + static_cast<std::size_t>(
                                        uniform() * static_cast<double>(order_.size() - nextInOrder_ + 1));
-    order_.insert(order_.begin() + static_cast<std::ptrdiff_t>(std::min(at, order_.size())), update.id);
+    if (order_.size() < kMaxMembers)
+      order_.insert(order_.begin() + static_cast<std::ptrdiff_t>(std::min(at, order_.size())), update.id);
     if (update.state == State::Suspect) suspect(stored, update.witness, now);
     return;
   }
@@ -405,7 +406,9 @@
   if (state == State::Alive) member.witnesses.clear();
   member.since = now;
   member.tellings = tellings();
-  if (before == State::Dead && state == State::Alive) order_.push_back(member.update.id);
+  // Guards against one that comes and goes faster than the order is worked off; it is in the next one anyway.
+  if (before == State::Dead && state == State::Alive && order_.size() < kMaxMembers)
+    order_.push_back(member.update.id);
   if (changes_.size() < kMaxChanges) changes_.push_back({member.update.id, member.update.address, state});
 }
 
--- a/src/peers/members.h
+++ b/src/peers/members.h
@@ -104,7 +104,8 @@
   // Of those heard, whose turn it is at this thing (rendezvous hashing, Thaler and Ravishankar 1998): the
   // same for all who hear the same ones, and handed on when that one is not heard any more.
   PeerId turnAt(std::uint64_t thing) const;
-  std::size_t known() const;  // but this one and those that have left
+  std::size_t order() const { return order_.size(); }  // probes that are queued; kMaxMembers at the most
+  std::size_t known() const;                           // but this one and those that have left
   int health() const { return health_; }
   const Settings& settings() const { return settings_; }
   std::uint64_t incarnation() const { return settings_.incarnation; }
@@ -185,7 +186,7 @@
   std::optional<Micros> twinSeen_;   // another process under this one's name
   std::optional<Micros> fewSince_;   // too few are heard
   std::uint64_t periods_ = 0;
-  double newsCredit_ = kNewsPerSecond, asksCredit_ = kNewsPerSecond;  // token buckets of a second
+  double newsCredit_ = kNewsPerSecond, asksCredit_ = kFanOut * kNewsPerSecond;  // token buckets of a second
   Micros newsAt_, asksAt_;
   PeerId lastTold_ = 0;  // whose state went out last without being news
   std::vector<Change> changes_;
--- a/tests/peers/members_test.cpp
+++ b/tests/peers/members_test.cpp
@@ -224,6 +224,26 @@
   EXPECT_EQ(members.known(), kMaxMembers);
 }
 
+// One with the key that dies and comes back with ever new incarnations, between two periods.
+TEST(Members, WhoComesAndGoesFillsNoQueue) {
+  Settings settings;
+  settings.self = 1;
+  Members members(settings, 1, 0);
+  std::vector<Outgoing> out;
+  Message message;
+  message.kind = Kind::News;
+  message.sender = 2;
+  for (std::uint64_t n = 1; n <= 2 * kMaxMembers; ++n) {
+    message.sequence = n;
+    message.updates = {{3, n, {}, State::Alive, 0}, {3, n, {}, State::Dead, 2}};
+    members.receive(message, 0, out);
+    members.takeChanges();
+  }
+  EXPECT_EQ(members.order(), kMaxMembers);
+  // And news ask for no more than their bucket holds.
+  EXPECT_EQ(out.size(), static_cast<std::size_t>(kFanOut * kNewsPerSecond));
+}
+
 TEST(Members, AReplayIsDroppedAndWhatAnswersNothingIsNotHeard) {
   Settings settings;
   settings.self = 1;
