What has gone out whole is never taken for unsent; idle connections end with their time

Read, then forced: the rest of a request that the kernel did not take at once was written by the loop itself (asio::async_write, async_write_some). Only requests over what the kernel takes at once (some 20 kB) were concerned. Now each piece is written from its own handler and counted in the same breath, as bodies that stream are; one function in place of two.

--- a/src/sidecar/upstreams.cpp
+++ b/src/sidecar/upstreams.cpp
@@ -174,38 +174,42 @@
     error_code error;
     const std::size_t sent = socket_.write_some(parts, error);
     if (error && error != asio::error::would_block) return fail(Outcome::ConnectFailed);
-    // A body that the kernel can't take at once waits for an upstream that reads, which is part of coming up.
-    const bool large = body.size() > kSendBuffer;
     if (sent == size) return onWritten();
-    if (body.size() > kMaxWhole) return writeRest(body, sent);
-    // A repeat's last byte has to go out within the window too.
-    const auto until = std::min(job.deadline, job.writeBy);
-    limit(large ? std::min(until, now + pool_.connectTimeout_) : until);
-    text_.append(body).erase(0, sent);
-    asio::async_write(socket_, asio::buffer(text_),
-                      [self = shared_from_this()](error_code failed, std::size_t) {
-                        if (!self->job_) return;
-                        // An error here means that the last byte has not gone out.
-                        if (failed) return self->fail(Outcome::ConnectFailed);
-                        self->onWritten();
-                      });
-  }
-
-  // The rest of a body that was read whole but is too large to be copied once more.
-  void writeRest(std::string_view body, std::size_t sent) {
+    rest_ = body;
+    dropSent(sent);
+    // A repeat's last byte has to go out within the window too. And a body that the kernel can't take at once
+    // waits for an upstream that reads, which is part of coming up.
+    auto until = std::min(job.deadline, job.writeBy);
+    if (body.size() > kSendBuffer) until = std::min(until, now + pool_.connectTimeout_);
+    if (body.size() > kMaxWhole) until = std::min({job.deadline, job.writeBy, now + kUpstreamTakes});
+    limit(until);
+    writeRest();
+  }
+
+  void dropSent(std::size_t sent) {
     const std::size_t ofHead = std::min(sent, text_.size());
     text_.erase(0, ofHead);
-    rest_ = body.substr(sent - ofHead);
-    limit(std::min({job_->deadline, job_->writeBy, Clock::now() + kUpstreamTakes}));
-    const std::array<asio::const_buffer, 2> parts = {asio::buffer(text_),
-                                                     asio::buffer(rest_.data(), rest_.size())};
-    socket_.async_write_some(parts,
-                             [self = shared_from_this(), job = job_](error_code error, std::size_t size) {
-                               if (!self->job_) return;
-                               if (error) return self->fail(Outcome::ConnectFailed);
-                               if (size == self->text_.size() + self->rest_.size()) return self->onWritten();
-                               self->writeRest(self->rest_, size);
-                             });
+    rest_.remove_prefix(sent - ofHead);
+  }
+
+  // What the kernel has not taken yet. Each piece is handed over from here and counted in the same breath:
+  // did the loop write it by itself, a time-out could come between the last byte and the news of it, and a
+  // request that may run would be taken for one that never did.
+  void writeRest() {
+    socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this(), job = job_](error_code error) {
+      if (self->job_ != job) return;
+      const std::array<asio::const_buffer, 2> parts = {asio::buffer(self->text_),
+                                                       asio::buffer(self->rest_.data(), self->rest_.size())};
+      const std::size_t size = asio::buffer_size(parts);
+      const std::size_t sent = error ? 0 : self->socket_.write_some(parts, error);
+      if (error && error != asio::error::would_block) return self->fail(Outcome::ConnectFailed);
+      if (sent == size) return self->onWritten();
+      self->dropSent(sent);
+      // It reads on, if slowly.
+      if (job->attempt && sent > 0 && job->attempt->message->body().size() > kMaxWhole)
+        self->limit(std::min({job->deadline, job->writeBy, Clock::now() + kUpstreamTakes}));
+      self->writeRest();
+    });
   }
 
   // The body goes on as it comes in.
@@ -450,7 +454,7 @@
   int interim_ = 0;   // informational answers to it so far
   std::optional<http::response_parser<relay::PiecesBody>> parser_;
   std::shared_ptr<relay::Pipe> answer_;  // that streams
-  std::string_view rest_;                // of a large body, what is still to be written behind text_
+  std::string_view rest_;                // of a body in the message, what is still to be written behind text_
   StreamWriter writer_;                  // of a request's body that streams
   bool uploading_ = false, waitsToWrite_ = false;
   bool paused_ = false;  // the client's side has no room
@@ -543,10 +547,12 @@
   auto& idle = idle_[upstream];
   const auto since = [](const auto& one) { return one->idleSince(); };
   while (!idle.empty()) {
-    const auto at = idle.begin() + static_cast<std::ptrdiff_t>(chooseIdle(idle, Clock::now(), since));
+    const auto now = Clock::now();
+    const auto at = idle.begin() + static_cast<std::ptrdiff_t>(chooseIdle(idle, now, since));
     auto chosen = *at;
     idle.erase(at);
-    if (chosen->stands()) return chosen;
+    // Its time may be up, and the timer that says so stand behind this request.
+    if (now - chosen->idleSince() < idleTime_ && chosen->stands()) return chosen;
     chosen->close();
   }
   return nullptr;
