A request that comes in the last tick of a stopping process is answered

All have to be quiet now. - a connection that was accepted in the same call as the one before it had its handler queued; closeAcceptor() in between made the handler drop it, perhaps with a request on it. - a request whose last byte came in the turn in which its 2.5 s were up was closed unread, if the timer's handler stood first. What has come is read for 10 ms more; one that is not whole then is closed as before (test).

--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -60,6 +60,8 @@
 // for so often: what it has asked for must not be sent on 0.3 s later.
 constexpr std::size_t kMaxAhead = 16UL * 1024;
 constexpr milliseconds kLookForLeaver{100};
+// A request that was being read when its time was up may have come whole meanwhile; it is read for so long.
+constexpr milliseconds kLastLook{10};
 // The kernel tells times by its own tick, of 10 ms at the most; less may be none.
 constexpr milliseconds kKernelTick{10};
 // The longest time that a client may ask for, so that sums of times stay far from overflow.
@@ -135,8 +137,6 @@
     watch();
   }
 
-  bool idle() const { return state_ == State::Idle; }
-
   // Whether nothing has come on an idle connection, so that closing it loses no request.
   bool quiet() {
     if (state_ != State::Idle || buffer_.size() > 0) return false;
@@ -598,7 +598,11 @@
   }
 
   void limit(Clock::time_point until) {
-    deadline_.set(until, [this] { close(); });
+    deadline_.set(until, [this] {
+      const auto self = shared_from_this();
+      if (state_ != State::Reading || peek() == asio::error::would_block) return close();
+      deadline_.set(Clock::now() + kLastLook, [this] { close(); });
+    });
   }
 
   void hangUp() {
@@ -686,10 +690,10 @@
   if (std::exchange(accepting_, true)) return;
   acceptor_.async_accept([this](error_code error, tcp::socket socket) {
     accepting_ = false;
+    // What was accepted counts as taken, also when the acceptor has been closed since.
+    if (!error) admit(std::move(socket));
     if (!acceptor_.is_open()) return;
-    if (!error) {
-      admit(std::move(socket));
-    } else if (error != asio::error::connection_aborted) {
+    if (error && error != asio::error::connection_aborted) {
       // Guards against a loop that spins when descriptors have run out.
       makeRoom();
       timer_.expires_after(kAcceptPause);
@@ -902,8 +906,9 @@
     if (session->settled(time) && session->quiet()) session->close();
   }
   if (effects_.mayEnd) {
+    // One on which something has come by now is about to be read.
     const bool allIdle =
-        std::all_of(sessions_.begin(), sessions_.end(), [](const auto& one) { return one.second->idle(); });
+        std::all_of(sessions_.begin(), sessions_.end(), [](const auto& one) { return one.second->quiet(); });
     if (allIdle || effects_.mustEnd) {
       const auto left = std::exchange(open_, {});
       for (const auto& [id, session] : left) session->write(plain(504, "stopping"));
