A configuration that is half written at SIGHUP is read again when it is whole

At SIGHUP a file that could not be read left all as it was, for good: whoever writes and signals at once lost the new address of discovery, whose list counts as told 4 s after the signal. It is read again every 100 ms for 2 s now, with one line at the first failure and one when it counts; a file that is whole but wrong stays refused. A SIGHUP that came before signals were waited for ended the program; it is ignored until then, since the file is read after that anyway (not forced by a test: the gap is that between main() and the signal set). tests/start_test.sh plays the half-written file, seen failing without it, and SIGHUP around SIGTERM and SIGTERM twice, which were sound.

--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -7,6 +7,8 @@
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <exception>
@@ -28,21 +30,52 @@
   return path.empty() ? ivypost::op::File{} : ivypost::op::read(path);
 }
 
+// The configuration is read again so often and so long after one that could not be: whoever sends SIGHUP may
+// still be writing the file, and what it says counts 4 s after the signal.
+constexpr std::chrono::milliseconds kAgain{100};
+constexpr int kTries = 20;
+
 // Guards against a file that is half written or wrong: what the sidecar has stays.
-void reload(ivypost::Sidecar& sidecar, const std::string& path) {
-  try {
-    const ivypost::Config config = ivypost::readConfig();
-    sidecar.reload(config, readFile(path));
-  } catch (const std::exception& error) {
-    std::fprintf(stderr, "the configuration stays as it was: %s\n", error.what());
+class Reload {
+ public:
+  Reload(boost::asio::io_context& io, ivypost::Sidecar& sidecar, std::string path)
+      : sidecar_(sidecar), path_(std::move(path)), again_(io) {}
+
+  void start() {
+    left_ = kTries;
+    attempt();
   }
-}
+
+ private:
+  void attempt() {
+    again_.cancel();
+    try {
+      const ivypost::Config config = ivypost::readConfig();
+      sidecar_.reload(config, readFile(path_));
+      if (left_ < kTries) std::fprintf(stderr, "the configuration could be read now, and counts\n");
+    } catch (const std::exception& error) {
+      if (left_ == kTries) std::fprintf(stderr, "the configuration stays as it was: %s\n", error.what());
+      if (--left_ == 0) return;
+      again_.expires_after(kAgain);
+      again_.async_wait([this](const boost::system::error_code& cancelled) {
+        if (!cancelled) attempt();
+      });
+    }
+  }
+
+  ivypost::Sidecar& sidecar_;
+  const std::string path_;
+  boost::asio::steady_timer again_;
+  int left_ = 0;
+};
 
 }  // namespace
 
 // NOLINTNEXTLINE(bugprone-exception-escape): CLI11's own set-up may throw, and then ends the program.
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
+  // One that comes before it is waited for tells nothing: the file is read after that anyway.
+  std::signal(SIGHUP, SIG_IGN);
   // Large bodies come and go. Left to itself the C library keeps what they held for the next ones, in pieces
   // that fit none of them, and the process grows over its limit.
   mallopt(M_MMAP_THRESHOLD, kLargeBlock);
@@ -63,11 +96,12 @@
     ivypost::Config config = ivypost::readConfig();
     for (const std::string& remark : config.site.remarks) std::fprintf(stderr, "%s\n", remark.c_str());
     ivypost::Sidecar sidecar(io, std::move(config), readFile(path), ivypost::etcdSource());
+    Reload reload(io, sidecar, path);
     const std::function<void()> listen = [&] {
       signals.async_wait([&](const boost::system::error_code& cancelled, int signal) {
         if (cancelled) return;
         if (signal == SIGHUP) {
-          reload(sidecar, path);
+          reload.start();
         } else {
           sidecar.stop([&io] { io.stop(); });
         }
--- a/tests/start_test.sh
+++ b/tests/start_test.sh
@@ -48,6 +48,20 @@
 printf '%s' "${good/127.0.0.1:1/127.0.0.1:2}" >"$dir/config.json"
 kill -HUP "$pid"
 told 'discovery moves to 127.0.0.1:2'
+# One that is still being written at the signal is read again when it is whole, without another signal.
+printf '%s' "${good:0:60}" >"$dir/config.json"
+kill -HUP "$pid"
+for _ in $(seq 300); do
+  [ "$(grep -c 'the configuration stays as it was' "$dir/err")" -eq 2 ] && break
+  sleep 0.1
+done
+printf '%s' "${good/127.0.0.1:1/127.0.0.1:3}" >"$dir/config.next"
+mv "$dir/config.next" "$dir/config.json"
+told 'discovery moves to 127.0.0.1:3'
+# Signals amid each other, and SIGTERM twice, end it once and well.
+kill -HUP "$pid"
+kill -TERM "$pid"
+kill -HUP "$pid"
 kill -TERM "$pid"
 wait "$pid"
 code=$?
