--- a/src/membership/platform.cpp
+++ b/src/membership/platform.cpp
@@ -191,6 +191,7 @@
   if (!whole) target += "?index=" + std::to_string(*generation_) + "&wait=" + std::to_string(wait.count());
   // One that failed does not lengthen the time that the list may have.
   if (!lost_) mayWait_ = wait;
+  calledAt_ = std::chrono::steady_clock::now();
   if (connection_ && !connection_->stands()) std::exchange(connection_, nullptr)->close();
   if (!connection_) connection_ = std::make_shared<Connection>(*this);
   connection_->call(target, waits_ ? wait + times_.patience : times_.plain);
@@ -218,7 +219,9 @@
   const bool news = fetching_ || list.whole || !list.instances.empty();
   fetching_ = false;
   generation_ = list.generation;
-  callAfter(milliseconds(0));
+  // Guards against a discovery that answers watches at once with nothing: it would be called without pause.
+  const bool hasty = !news && *answeredAt_ - calledAt_ < kAgain;
+  callAfter(hasty ? kAgain : milliseconds(0));
   if (news) callbacks_.told(std::move(list));
 }
 
--- a/src/membership/platform.h
+++ b/src/membership/platform.h
@@ -72,6 +72,7 @@
   const bool pushed_;
   const Times times_;
   std::optional<std::chrono::steady_clock::time_point> answeredAt_;
+  std::chrono::steady_clock::time_point calledAt_;
   std::chrono::milliseconds mayWait_{0};  // of the call that is out, or was last
   bool watching_ = false;
   bool fetching_ = false;
--- a/tests/leaving_test.cpp
+++ b/tests/leaving_test.cpp
@@ -49,22 +49,26 @@
     return {{"settings", {{"limits", {{"mayCancel", mayCancel()}, {"connectTimeout", 60'000'000}}}}}};
   }
   void settle() { pollAll(io); }
+  // The list names this upstream alone.
+  void tell(const std::string& address) {
+    json told = list(++generation, true);
+    told["instances"].push_back({{"instanceId", "s-1"},
+                                 {"hostPort", address},
+                                 {"zone", "oviedo"},
+                                 {"lifecycle", "up"},
+                                 {"weight", 1.0},
+                                 {"startedAtMs", 0}});
+    const auto before = watches();
+    discovery.requests.back().reply(200, told.dump());
+    ASSERT_TRUE(wait([&] { return watches() > before; }));
+  }
 };
 
 // Behind a connection that is coming up. It comes up afterwards, and nothing is written to it.
 TEST_P(LeavesTest, WhileAConnectionComesUp) {
   FullListener node(io);
   start(0, patched());
-  json told = list(++generation, true);
-  told["instances"].push_back({{"instanceId", "s-full"},
-                               {"hostPort", node.address()},
-                               {"zone", "oviedo"},
-                               {"lifecycle", "up"},
-                               {"weight", 1.0},
-                               {"startedAtMs", 0}});
-  const auto before = watches();
-  discovery.requests.back().reply(200, told.dump());
-  ASSERT_TRUE(wait([&] { return watches() > before; }));
+  tell(node.address());
   Visitor visitor(io, sidecar->port());
   visitor.send(Request().text());
   ASSERT_TRUE(wait([&] { return sidecar->comingUp() == 1; }));
@@ -123,16 +127,7 @@
   node.bind({asio::ip::address_v4::loopback(), 0});
   node.listen();
   start(0, patched());
-  json told = list(++generation, true);
-  told["instances"].push_back({{"instanceId", "s-slow"},
-                               {"hostPort", "127.0.0.1:" + std::to_string(node.local_endpoint().port())},
-                               {"zone", "oviedo"},
-                               {"lifecycle", "up"},
-                               {"weight", 1.0},
-                               {"startedAtMs", 0}});
-  const auto before = watches();
-  discovery.requests.back().reply(200, told.dump());
-  ASSERT_TRUE(wait([&] { return watches() > before; }));
+  tell("127.0.0.1:" + std::to_string(node.local_endpoint().port()));
   std::optional<tcp::socket> line;
   node.async_accept([&](error_code, tcp::socket socket) { line = std::move(socket); });
   Visitor visitor(io, sidecar->port());
@@ -164,6 +159,25 @@
   EXPECT_LT(got.size(), request.body.size());
 }
 
+// With a large body on its way that is held back, since its upstream does not take it: nothing of it goes out
+// later.
+TEST_P(LeavesTest, WhileItsUploadIsHeldBack) {
+  FullListener node(io);
+  start(0, patched());
+  tell(node.address());
+  Visitor visitor(io, sidecar->port());
+  Request request;
+  request.body.assign(3'000'000, 'b');
+  // More than is held for it, and no more than the kernel holds besides.
+  visitor.send(request.text().substr(0, 160'000));
+  ASSERT_TRUE(wait([&] { return sidecar->comingUp() == 1; }));
+  settle();
+  visitor.leave(how());
+  const auto left = Clock::now();
+  EXPECT_TRUE(wait([&] { return sidecar->comingUp() == 0; }));
+  EXPECT_LT(Clock::now() - left, std::chrono::seconds(10));
+}
+
 INSTANTIATE_TEST_SUITE_P(All, LeavesTest,
                          testing::Combine(testing::Values(Leaves::Close, Leaves::Reset, Leaves::HalfClose,
                                                           Leaves::CloseAfterMuch, Leaves::ResetAfterMuch),
--- a/tests/membership/platform_test.cpp
+++ b/tests/membership/platform_test.cpp
@@ -127,6 +127,18 @@
   EXPECT_EQ(lists.size(), 2u);
 }
 
+// A watch that is answered at once with nothing, time after time, must not cost the core, nor discovery.
+TEST_F(PlatformTest, WatchesAnsweredAtOnceWithNothingAreNotRepeatedAtOnce) {
+  discovery.onRequest = [](Peer::Exchange& call) {
+    call.reply(200, R"({"generation":41,"reset":false,"instances":[]})");
+  };
+  follow(false, {milliseconds(20'000), milliseconds(20'000), milliseconds(60'000)});
+  const auto from = Clock::now();
+  ASSERT_TRUE(calls(4));
+  EXPECT_GE(Clock::now() - from, milliseconds(3 * 100 - 5));
+  EXPECT_EQ(discovery.lines.size(), 1u);
+}
+
 // A second answer behind the first, with it or later, is never read as the next call's.
 TEST_F(PlatformTest, WhatComesBehindAnAnswerIsNotTheNextOne) {
   follow(true, {milliseconds(20'000), milliseconds(20'000), milliseconds(60'000)});
