--- a/tests/ending_test.cpp
+++ b/tests/ending_test.cpp
@@ -6,44 +6,6 @@
 namespace ivypost {
 namespace {
 
-class ServerTest : public SidecarTest {
- protected:
-  void serve(const json& patch = json::object()) {
-    config.emplace(configure(patch));
-    server.emplace(io, *config, op::File{}, budget,
-                   Server::Callbacks{[this](ClientRequest request) { taken.push_back(std::move(request)); },
-                                     [](orchiddrum::RequestId) {},
-                                     {},
-                                     {},
-                                     [this] { ended = true; }});
-    lifecycle::Effects ready;
-    ready.ready = ready.accepts = ready.keeps = true;
-    server->follow(ready);
-  }
-  std::size_t inside() const { return server->door().taken(); }
-  void answerAll() {
-    for (const ClientRequest& request : taken) {
-      Answer answer;
-      answer.status = 200;
-      server->answer(request.id, std::move(answer));
-    }
-    taken.clear();
-  }
-  static lifecycle::Effects stopping(bool accepts, bool mayEnd) {
-    lifecycle::Effects effects;
-    effects.accepts = accepts;
-    effects.closesIdle = true;
-    effects.mayEnd = mayEnd;
-    return effects;
-  }
-
-  relay::Budget budget{1'000'000};
-  std::optional<Config> config;
-  std::optional<Server> server;
-  std::vector<ClientRequest> taken;
-  bool ended = false;
-};
-
 // A request reaches the kernel after the loop has looked and before it looks whether all is done.
 TEST_F(ServerTest, ARequestInTheLastTickIsAnsweredBeforeTheEnd) {
   serve();
--- a/tests/leaving_test.cpp
+++ b/tests/leaving_test.cpp
@@ -253,5 +253,30 @@
   EXPECT_EQ(sentOn, 0u);
 }
 
+// In the queue for the core: those that leave do not get their turn.
+TEST_F(ServerTest, WhoLeavesTheQueueForTheCoreIsNotHandedOn) {
+  op::File file;
+  file.admission.queue = true;
+  file.admission.perTurn = 1;
+  serve(file);
+  constexpr std::size_t kMany = 100;
+  std::vector<std::unique_ptr<Visitor>> visitors;
+  for (std::size_t n = 0; n < kMany; ++n) visitors.push_back(std::make_unique<Visitor>(io, server->port()));
+  ASSERT_TRUE(wait([&] { return inside() == kMany; }));
+  Request request;
+  for (std::size_t n = 0; n < kMany; ++n) {
+    request.trace = traceOf(static_cast<int>(n));
+    visitors[n]->send(request.text());
+  }
+  ASSERT_TRUE(wait([&] { return server->gate().waiting() > kMany / 2; }));
+  const std::size_t before = taken.size();
+  for (std::size_t n = 0; n < kMany; ++n) visitors[n]->leave(n % 2 == 0 ? Leaves::Close : Leaves::Reset);
+  pollAll(io);
+  // The turn that was on, and one that comes before the loop looks at the sockets.
+  EXPECT_LE(taken.size(), before + 3);
+  EXPECT_EQ(server->gate().waiting(), 0u);
+  EXPECT_EQ(inside(), 0u);
+}
+
 }  // namespace
 }  // namespace ivypost
--- a/tests/moments.h
+++ b/tests/moments.h
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -91,6 +92,45 @@
   std::vector<std::shared_ptr<Line>> lines_;
 };
 
+// The client side alone: what it takes, a test answers by hand.
+class ServerTest : public SidecarTest {
+ protected:
+  void serve(const op::File& file = {}) {
+    config.emplace(configure(json::object()));
+    server.emplace(io, *config, file, budget,
+                   Server::Callbacks{[this](ClientRequest request) { taken.push_back(std::move(request)); },
+                                     [](orchiddrum::RequestId) {},
+                                     {},
+                                     {},
+                                     [this] { ended = true; }});
+    lifecycle::Effects ready;
+    ready.ready = ready.accepts = ready.keeps = true;
+    server->follow(ready);
+  }
+  std::size_t inside() const { return server->door().taken(); }
+  void answerAll() {
+    for (const ClientRequest& request : taken) {
+      Answer answer;
+      answer.status = 200;
+      server->answer(request.id, std::move(answer));
+    }
+    taken.clear();
+  }
+  static lifecycle::Effects stopping(bool accepts, bool mayEnd) {
+    lifecycle::Effects effects;
+    effects.accepts = accepts;
+    effects.closesIdle = true;
+    effects.mayEnd = mayEnd;
+    return effects;
+  }
+
+  relay::Budget budget{1'000'000};
+  std::optional<Config> config;
+  std::optional<Server> server;
+  std::vector<ClientRequest> taken;
+  bool ended = false;
+};
+
 }  // namespace ivypost
 
 #endif  // IVYPOST_MOMENTS_H_
