Scale: the simulated network of sidecars moves to a room of its own

Cause: runs at the size that is coming need the network in simulated time that only the tests of src/peers had. Change: tests/peers/net.h is src/scale/simulated_network.h, class SimulatedNetwork; nothing else. Measured: nothing, no behaviour changes.

--- a/tests/peers/net.h
+++ b/src/scale/simulated_network.h
@@ -1,9 +1,9 @@
 // Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
 //
-// Many sidecars' membership on made-up time, over a network that loses, doubles, delays and reorders by one
+// Many sidecars' membership on simulated time, over a network that loses, doubles, delays and reorders by one
 // seed.
-#ifndef IVYPOST_TESTS_PEERS_NET_H_
-#define IVYPOST_TESTS_PEERS_NET_H_
+#ifndef IVYPOST_SCALE_SIMULATED_NETWORK_H_
+#define IVYPOST_SCALE_SIMULATED_NETWORK_H_
 
 #include <algorithm>
 #include <cstdint>
@@ -22,7 +22,7 @@
 
 constexpr Micros kMs = 1'000, kSecond = 1'000'000;
 
-class Net {
+class SimulatedNetwork {
  public:
   struct Faults {
     double loss = 0, doubled = 0;
@@ -33,7 +33,7 @@
   std::uint64_t sentBytes = 0, sent = 0;
   Micros now = 1000 * kSecond;
 
-  explicit Net(std::uint64_t seed) : random_(seed) {}
+  explicit SimulatedNetwork(std::uint64_t seed) : random_(seed) {}
 
   static Address addressOf(std::size_t number) {
     return {0x0a000001 + static_cast<std::uint32_t>(number), 7946};
@@ -165,4 +165,4 @@
 
 }  // namespace ivypost::peers
 
-#endif  // IVYPOST_TESTS_PEERS_NET_H_
+#endif  // IVYPOST_SCALE_SIMULATED_NETWORK_H_
--- a/tests/peers/members_test.cpp
+++ b/tests/peers/members_test.cpp
@@ -6,21 +6,21 @@
 #include <map>
 #include <set>
 
-#include "peers/net.h"
+#include "scale/simulated_network.h"
 
 namespace ivypost::peers {
 namespace {
 
-void startAll(Net& net, std::size_t count) {
+void startAll(SimulatedNetwork& net, std::size_t count) {
   for (std::size_t n = 0; n < count; ++n) net.start(n, static_cast<std::uint32_t>(count));
 }
 
-bool allHear(Net& net, std::size_t count) {
+bool allHear(SimulatedNetwork& net, std::size_t count) {
   return net.all([&](Members& one) { return one.heard() == count && !one.deaf(net.now); });
 }
 
 TEST(Members, FindEachOtherAndTakeTurnsTheSameWay) {
-  Net net(1);
+  SimulatedNetwork net(1);
   startAll(net, 12);
   EXPECT_TRUE(net.at(5).deaf(net.now)) << "before anybody was heard";
   ASSERT_TRUE(net.until([&] { return allHear(net, 12); }, 10 * kSecond));
@@ -36,10 +36,10 @@
 
 TEST(Members, LearnOfADeathWithinItsTimeAndHandTheTurnsOn) {
   for (const std::size_t count : {2, 3, 12, 48}) {
-    Net net(count);
+    SimulatedNetwork net(count);
     startAll(net, count);
     ASSERT_TRUE(net.until([&] { return allHear(net, count); }, 20 * kSecond)) << count;
-    const PeerId gone = Net::idAt(1);
+    const PeerId gone = SimulatedNetwork::idAt(1);
     net.kill(1);
     // A probe of each within so many periods, then a suspicion; with few witnesses the longest.
     ASSERT_TRUE(
@@ -53,7 +53,7 @@
 // Nobody is declared dead for loss alone, at a rate that a network may have.
 TEST(Members, SuspectFewForLossAndBuryNone) {
   for (const double loss : {0.01, 0.05, 0.1}) {
-    Net net(7);
+    SimulatedNetwork net(7);
     startAll(net, 24);
     ASSERT_TRUE(net.until([&] { return allHear(net, 24); }, 20 * kSecond));
     net.all([](Members& one) { return one.takeChanges(), true; });
@@ -73,7 +73,7 @@
 // Half cannot be heard by the other half for 10 s: each side goes on by itself, and they find each other
 // again.
 TEST(Members, TwoHalvesPartAndComeTogether) {
-  Net net(3);
+  SimulatedNetwork net(3);
   startAll(net, 12);
   ASSERT_TRUE(net.until([&] { return allHear(net, 12); }, 10 * kSecond));
   net.faults.passes = [](std::size_t from, std::size_t to) { return from % 2 == to % 2; };
@@ -98,7 +98,7 @@
       {"one cannot hear it", [](std::size_t from, std::size_t to) { return from != 4 || to != 5; }, false},
   };
   for (const auto& row : rows) {
-    Net net(11);
+    SimulatedNetwork net(11);
     startAll(net, 12);
     ASSERT_TRUE(net.until([&] { return allHear(net, 12); }, 10 * kSecond));
     net.faults.passes = row.passes;
@@ -114,7 +114,7 @@
 // kernel meanwhile do not change that.
 TEST(Members, AreDeafRightAfterAStop) {
   for (const Micros stop : {5 * kSecond, 30 * kSecond}) {
-    Net net(5);
+    SimulatedNetwork net(5);
     startAll(net, 12);
     ASSERT_TRUE(net.until([&] { return allHear(net, 12); }, 10 * kSecond));
     for (std::size_t n = 0; n < 4; ++n) net.pause(n);
@@ -126,7 +126,7 @@
     EXPECT_TRUE(net.until([&] { return allHear(net, 12); }, 5 * kSecond)) << stop;
     // Those who were stopped bury nobody for it.
     std::set<PeerId> stopped;
-    for (std::size_t n = 0; n < 4; ++n) stopped.insert(Net::idAt(n));
+    for (std::size_t n = 0; n < 4; ++n) stopped.insert(SimulatedNetwork::idAt(n));
     for (std::size_t n = 0; n < 12; ++n)
       for (const Change& change : net.at(n).takeChanges())
         EXPECT_TRUE(change.state != State::Dead || stopped.count(change.id) > 0);
@@ -134,7 +134,7 @@
 }
 
 TEST(Members, AllStartAtOnceWithoutSeedsForAMinute) {
-  Net net(9);
+  SimulatedNetwork net(9);
   startAll(net, 12);
   net.faults.passes = [](std::size_t, std::size_t to) { return to > 2; };  // the seeds hear nobody
   net.run(60 * kSecond);
@@ -146,7 +146,7 @@
 // A restart under the same name, also with a clock that was set back.
 TEST(Members, ANameComesBackInAHundredMilliseconds) {
   for (const std::uint64_t incarnation : {std::uint64_t{0}, std::uint64_t{1}}) {
-    Net net(13);
+    SimulatedNetwork net(13);
     startAll(net, 6);
     ASSERT_TRUE(net.until([&] { return allHear(net, 6); }, 10 * kSecond));
     net.kill(3);
@@ -161,10 +161,10 @@
 }
 
 TEST(Members, TwoProcessesWithOneNameBothTakeThemselvesForDeaf) {
-  Net net(17);
+  SimulatedNetwork net(17);
   startAll(net, 6);
   ASSERT_TRUE(net.until([&] { return allHear(net, 6); }, 10 * kSecond));
-  net.start(6, 6, [](Settings& s) { s.self = Net::idAt(2); });
+  net.start(6, 6, [](Settings& s) { s.self = SimulatedNetwork::idAt(2); });
   ASSERT_TRUE(net.until([&] { return net.at(2).twin(net.now) && net.at(6).twin(net.now); }, 10 * kSecond));
   EXPECT_TRUE(net.at(2).deaf(net.now));
   EXPECT_TRUE(net.at(6).deaf(net.now));
@@ -174,13 +174,13 @@
 }
 
 TEST(Members, WhoLeavesIsMissedByNobody) {
-  Net net(19);
+  SimulatedNetwork net(19);
   startAll(net, 12);
   ASSERT_TRUE(net.until([&] { return allHear(net, 12); }, 10 * kSecond));
   for (std::size_t n = 4; n < 12; ++n) {
     std::vector<Outgoing> out;
     net.at(n).leave(out);
-    for (const Outgoing& one : out) net.inject(one.to.ip - Net::addressOf(0).ip, one.message);
+    for (const Outgoing& one : out) net.inject(one.to.ip - SimulatedNetwork::addressOf(0).ip, one.message);
     net.kill(n);
   }
   EXPECT_TRUE(net.until([&] { return allHear(net, 4); }, 3 * kSecond));
@@ -196,7 +196,7 @@
 TEST(Members, BytesASecondStayWithinTheirBound) {
   std::map<std::size_t, double> bytes;
   for (const std::size_t count : {2, 12, 48, 300}) {
-    Net net(count);
+    SimulatedNetwork net(count);
     for (std::size_t n = 0; n < count; ++n)
       net.start(n, static_cast<std::uint32_t>(n % 2 == 0 ? 4 * count : (count + 3) / 4));
     ASSERT_TRUE(net.until([&] { return allHear(net, count); }, 120 * kSecond, kSecond)) << count;
