--- a/src/peers/members.h
+++ b/src/peers/members.h
@@ -40,8 +40,20 @@
   // How many sidecars there should be, as the platform says; it may be wrong by kWrongBy either way.
   std::uint32_t expected = 1;
   Micros forget = 60'000'000;  // the dead are remembered, and now and then tried, for so long
+  // The region that this sidecar is in, 1 to kMaxRegion; 0: not told. With a region, what is too few is
+  // judged by the sidecars of the same region alone, and how many of them there should be is told besides.
+  std::uint8_t region = 0;
+  std::uint32_t regionExpected = 0;
+  // Sent in any second at the most, with kDatagramOverhead a datagram.
+  std::uint32_t bytesPerSecond = 6000;
+  // Compares its table with others' and fetches what differs; off: speaks and understands as before that.
+  bool antiEntropy = true;
 };
 
+constexpr std::uint8_t kMaxRegion = 63;
+// Of IPv4 without options and UDP (RFC 791, RFC 768).
+constexpr std::size_t kDatagramOverhead = 28;
+
 constexpr std::size_t kMaxMembers = 4096;
 constexpr std::uint32_t kWrongBy = 4;
 // Lifeguard's local health multiplier goes from 0 to this (LHM, section 3.1, S = 8).
