Scale: hollow sidecars on real sockets, and ivyscale hollow

Cause: simulated time shows times and bytes, not what sockets, seals and timers cost. Change: ivyscale hollow starts workers of itself with many FleetViews each on loopback addresses, ivypost processes beside them if wished, and gives processor time, memory and bytes of each at rest; it refuses what the machine can't bear and leaves nothing running when it is stopped.

--- a/tools/ivyscale/main.cpp
+++ b/tools/ivyscale/main.cpp
@@ -1,17 +1,21 @@
 // Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
 //
-// ivyscale: the control part of a fleet at the size that is coming. `simulate` runs events in simulated time.
-// Progress goes to standard error, a table to standard output. docs/operators/scale.md tells what the figures
-// mean.
+// ivyscale: the control part of a fleet at the size that is coming. `simulate` runs events in simulated time,
+// `hollow` real sockets and processes. Progress goes to standard error, a table to standard output.
+// docs/operators/scale.md tells what the figures mean. Exit status: 0 run, 2 refused, failed or stopped.
 #include <malloc.h>
+#include <sys/resource.h>
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
+#include <array>
 #include <atomic>
+#include <csignal>
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
+#include <filesystem>
 #include <fstream>
 #include <mutex>
 #include <new>
@@ -21,6 +25,8 @@
 #include <thread>
 #include <vector>
 
+#include "scale/hollow.h"
+#include "scale/hollow_worker.h"
 #include "scale/runs.h"
 
 // What a thread has allocated and not freed, for the memory of one Members: a run stays on its thread.
@@ -248,7 +254,7 @@
   std::printf(
       "\nseconds: median / worst of the seeds; all else the worst of them. sent, recvd: bytes a second a "
       "sidecar "
-      "with %d\nbytes of headers a datagram, worst: of any one in its worst second. cpu: microseconds a "
+      "with %zu\nbytes of headers a datagram, worst: of any one in its worst second. cpu: microseconds a "
       "sidecar "
       "and simulated second of\nthe whole simulation, and of Members alone. Nothing here has a socket, a "
       "seal or "
@@ -256,12 +262,16 @@
       28);
 }
 
-int simulate(const Simulate& arguments) {
+std::ofstream openJson(const std::string& path) {
   std::ofstream file;
-  if (!arguments.json.empty()) {
-    file.open(arguments.json);
-    if (!file) throw std::runtime_error("--json " + arguments.json + " can't be written: name another file");
-  }
+  if (path.empty()) return file;
+  file.open(path);
+  if (!file) throw std::runtime_error("--json " + path + " can't be written: name another file");
+  return file;
+}
+
+int simulate(const Simulate& arguments) {
+  std::ofstream file = openJson(arguments.json);
   std::vector<Job> jobs = jobsOf(arguments);
   play(jobs, arguments.threads);
   table(jobs);
@@ -273,10 +283,102 @@
   return 0;
 }
 
+// ---- Hollow sidecars --------------------------------------------------------------------------------------
+
+// A socket for each sidecar of a process.
+void raiseDescriptorLimit() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+json toJson(const scale::HollowPlan& plan, const scale::HollowFigures& f) {
+  return {{"sidecars", plan.sidecars},
+          {"processes", plan.processes},
+          {"real", plan.real},
+          {"regions", plan.regions},
+          {"zones", plan.zones},
+          {"seconds", plan.seconds},
+          {"all_hear_all_seconds", f.allHearAll ? json(*f.allHearAll) : json()},
+          {"fewest_heard", f.fewestHeard},
+          {"deaf", f.deaf},
+          {"core_share", f.processor},
+          {"core_share_start", f.startProcessor},
+          {"core_share_alone", f.aloneProcessor},
+          {"sent_bytes_per_second", f.sent},
+          {"received_bytes_per_second", f.received},
+          {"datagrams_per_second", f.datagrams},
+          {"sent_bytes_worst_second", f.worstSent},
+          {"received_bytes_worst_second", f.worstReceived},
+          {"start_sent_bytes_worst_second", f.startWorstSent},
+          {"start_received_bytes_worst_second", f.startWorstReceived},
+          {"unsent_datagrams", f.unsent},
+          {"memory_bytes", f.memory},
+          {"memory_bytes_alone", f.aloneMemory},
+          {"ivypost_core_share_on", f.realOnProcessor},
+          {"ivypost_core_share_off", f.realOffProcessor},
+          {"ivypost_memory_bytes_on", f.realOnMemory},
+          {"ivypost_memory_bytes_off", f.realOffMemory}};
+}
+
+void show(const scale::HollowPlan& plan, const scale::HollowFigures& f) {
+  std::printf("%u hollow sidecars in %u processes", plan.sidecars, plan.processes);
+  if (plan.real > 0) std::printf(", %u ivypost beside them", plan.real);
+  std::printf("\n");
+  if (f.allHearAll)
+    std::printf("  from the start until all hear all  %.2f s\n", *f.allHearAll);
+  else
+    std::printf("  from the start until all hear all  not within %.0f s\n", plan.within);
+  std::printf(
+      "  at the end: fewest heard by one    %zu of %u, %zu deaf, %llu datagrams not taken by the system\n",
+      f.fewestHeard, plan.sidecars + plan.real, f.deaf, static_cast<unsigned long long>(f.unsent));
+  std::printf("  a hollow sidecar at rest, over %.0f s\n", plan.seconds);
+  std::printf("    processor                        %.3f%% of a core (%.3f%% before)\n", 100 * f.processor,
+              100 * f.startProcessor);
+  std::printf("    bytes a second sent, received    %.0f, %.0f; %.1f datagrams sent\n", f.sent, f.received,
+              f.datagrams);
+  std::printf("    any one's worst second           %.0f, %.0f (%.0f, %.0f before)\n", f.worstSent,
+              f.worstReceived, f.startWorstSent, f.startWorstReceived);
+  std::printf("    memory, its share of a process   %.2f MB\n", f.memory / 1e6);
+  if (f.aloneMemory > 0)
+    std::printf("    alone in a process               %.2f MB, %.3f%% of a core\n", f.aloneMemory / 1e6,
+                100 * f.aloneProcessor);
+  if (plan.real > 0) {
+    std::printf("  an ivypost at rest\n");
+    std::printf("    processor, peers on and off      %.3f%%, %.3f%% of a core\n", 100 * f.realOnProcessor,
+                100 * f.realOffProcessor);
+    std::printf("    memory, peers on and off         %.2f, %.2f MB\n", f.realOnMemory / 1e6,
+                f.realOffMemory / 1e6);
+  }
+  std::printf(
+      "real in a hollow sidecar: membership, judgements (none are made), the seal, its socket and timers. "
+      "Hollow: "
+      "no data\nplane, no list of upstreams, no operators' calls, no configuration; datagrams go over "
+      "loopback, "
+      "which loses nothing.\nBytes are with %zu of headers a datagram; `before`: from the start until all "
+      "heard "
+      "all.\n",
+      ivypost::peers::kDatagramOverhead);
+}
+
+int hollow(scale::HollowPlan plan, const std::string& path) {
+  std::ofstream file = openJson(path);
+  plan.worker = std::filesystem::read_symlink("/proc/self/exe");
+  if (plan.ivypost.empty()) plan.ivypost = std::filesystem::path(plan.worker).parent_path() / "ivypost";
+  plan.progress = [](const std::string& line) { std::fprintf(stderr, "ivyscale: %s\n", line.c_str()); };
+  const scale::HollowFigures figures = scale::run(plan);
+  show(plan, figures);
+  if (file.is_open()) file << toJson(plan, figures).dump(1) << "\n";
+  return 0;
+}
+
 }  // namespace
 
 // NOLINTNEXTLINE(bugprone-exception-escape): CLI11's own set-up may throw, and then ends the program.
 int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  raiseDescriptorLimit();
   CLI::App app("Runs the control part of many sidecars and shows what it costs");
   app.require_subcommand(1);
   Simulate simulated;
@@ -308,9 +410,55 @@
   simulation->add_flag("--seeds-in-both", simulated.seedsInBoth,
                        "of the cuts: a seed in the second region too, else all are in the first");
   simulation->add_option("--json", simulated.json, "a file for all figures of each run");
-  CLI11_PARSE(app, argc, argv);
+
+  scale::HollowPlan plan;
+  std::string hollowJson;
+  CLI::App* hollows = app.add_subcommand("hollow", "sidecars without a data plane, on real sockets");
+  hollows->add_option("--sidecars", plan.sidecars, "hollow ones");
+  hollows->add_option("--processes", plan.processes, "that they are in; one of them holds a single one");
+  hollows->add_option("--seconds", plan.seconds, "of the measurement at rest")
+      ->check(CLI::Range(1.0, 86400.0));
+  hollows->add_option("--settle", plan.settle, "seconds from when all hear all to it")
+      ->check(CLI::Range(0.0, 86400.0));
+  hollows->add_option("--within", plan.within, "seconds within which all are to hear all")
+      ->check(CLI::Range(1.0, 86400.0));
+  hollows->add_option("--real", plan.real, "ivypost processes beside them")->check(CLI::Range(0, 198));
+  hollows->add_option("--ivypost", plan.ivypost, "their program; else the one beside this one");
+  hollows->add_option("--regions", plan.regions, "groups of zones; 0: sidecars are not told of theirs");
+  hollows->add_option("--zones", plan.zones, "groups of sidecars");
+  hollows
+      ->add_option("--memory", plan.memoryMb,
+                   "MB that may be used; else, and at the most, half of the machine's")
+      ->check(CLI::Range(1.0, 1e9));
+  hollows->add_option("--key-file", plan.keyFile, "of the seal; else a key is made up");
+  hollows->add_option("--seed", plan.seed, "for the sidecars' chance");
+  hollows->add_option("--json", hollowJson, "a file for all figures");
+
+  scale::WorkerPlan worker;
+  CLI::App* works = app.add_subcommand("worker", "what `hollow` starts");
+  works->group("");
+  works->add_option("--first", worker.first)->required();
+  works->add_option("--count", worker.count)->required();
+  works->add_option("--sidecars", worker.fleet.sidecars)->required();
+  works->add_option("--regions", worker.fleet.regions)->required();
+  works->add_option("--zones", worker.fleet.zones)->required()->check(CLI::Range(1, 4096));
+  works->add_option("--port", worker.fleet.port)->required();
+  works->add_option("--seed", worker.seed)->required();
+  works->add_option("--key-file", worker.keyFile)->required();
+  works->add_option("--start-at", worker.startAt)->required();
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    if (error.get_exit_code() == 0) return app.exit(error);  // help was asked for
+    std::fprintf(stderr, "ivyscale: %s; --help shows what is allowed\n", error.what());
+    return 2;
+  }
   try {
-    return simulate(simulated);
+    if (works->parsed()) {
+      scale::work(worker);
+      return 0;
+    }
+    return hollows->parsed() ? hollow(plan, hollowJson) : simulate(simulated);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "ivyscale: %s\n", error.what());
     return 2;
