Peers: keys region, region_sidecars and bytes_per_second of the operator's file

Cause: the settings of regions and of the bytes a second are there, and an operator could not set them. Change: three keys of [peers], read into Settings by placeOf(); region without region_sidecars, or the other way round, is one line that names the key and the mend. GET /status/peers tells the region.

--- a/src/operator/keys.cpp
+++ b/src/operator/keys.cpp
@@ -187,12 +187,12 @@
       [](const File& file) { return shownList(file.peers.seeds); }};
 }
 
-// Not to be shown at its default, which is no number that may stand there.
-Key sidecars() {
-  return {"peers.sidecars", "",
-          [](File& file, Table& table, std::string_view leaf) {
+// A number of sidecars. Not to be shown at its default, which is no number that may stand there.
+Key members(std::string path, Field<std::int64_t> field) {
+  return {std::move(path), "",
+          [field](File& file, Table& table, std::string_view leaf) {
             if (table.has(leaf))
-              file.peers.sidecars = table.integer(leaf, 1, static_cast<std::int64_t>(peers::kMaxMembers));
+              field(file) = table.integer(leaf, 1, static_cast<std::int64_t>(peers::kMaxMembers));
           },
           [](const File&) { return std::string(); }};
 }
@@ -210,7 +210,18 @@
       text("peers.key_file",
            "A file of 64 hexadecimal digits, the same at all sidecars; who has it can speak as any of them.",
            [](File& f) -> std::string& { return f.peers.keyFile; }));
-  all.push_back(sidecars());
+  all.push_back(members("peers.sidecars", [](File& f) -> std::int64_t& { return f.peers.sidecars; }));
+  all.push_back(whole<std::int64_t>(
+      "peers.region",
+      "The region that this sidecar is in, 1 to 63; 0: not told. With one, deaf is judged by the\n"
+      "sidecars of the region alone, and region_sidecars has to say how many there should be.",
+      0, peers::kMaxRegion, [](File& f) -> std::int64_t& { return f.peers.region; }));
+  all.push_back(
+      members("peers.region_sidecars", [](File& f) -> std::int64_t& { return f.peers.regionSidecars; }));
+  all.push_back(whole<std::int64_t>(
+      "peers.bytes_per_second", "Sent to others in any second at the most, with the headers of IPv4 and UDP.",
+      peers::kLeastBytes, peers::kMostBytes,
+      [](File& f) -> std::int64_t& { return f.peers.bytesPerSecond; }));
   all.push_back(time("peers.period",
                      "Between two probes of others; 1 to 2 kB a second are sent at 250ms, in any fleet.",
                      10'000, [](File& f) -> std::int64_t& { return f.peers.period; }));
--- a/src/peers/options.cpp
+++ b/src/peers/options.cpp
@@ -38,6 +38,11 @@
     if (!parseAddress(seed)) return bad("seeds", seed);
   if (options.keyFile.empty())
     return "key_file is missing: a file of 64 hexadecimal digits, the same everywhere";
+  if (options.region > 0 && options.regionSidecars == 0)
+    return "region_sidecars is missing: how many sidecars there should be in this one's region, as 330";
+  if (options.region == 0 && options.regionSidecars > 0)
+    return "region_sidecars counts for nothing without region; set region, 1 to " +
+           std::to_string(kMaxRegion) + ", or leave both out";
   if (options.timeout >= options.period) return "timeout has to be under period";
   if (options.deafAfter < 4 * options.period) return "deaf_after has to be at least four times period";
   return std::nullopt;
--- a/src/peers/options.h
+++ b/src/peers/options.h
@@ -14,13 +14,20 @@
 namespace ivypost::peers {
 
 constexpr std::size_t kMaxSeeds = 64;
+// Bytes a second that may be set. Below the first, the probes and answers of a calm fleet alone (1.2 kB a
+// second at a period of 250 ms) would leave too little for what changes; the last is more than any fleet has
+// to say.
+constexpr std::int64_t kLeastBytes = 2000, kMostBytes = 1'000'000;
 
 struct Options {
   bool on = false;
   std::string address, listen;     // empty: the platform's; `listen` empty: `address`
   std::vector<std::string> seeds;  // empty: the platform's
   std::string keyFile;
-  std::int64_t sidecars = 0;  // 0: as many as the platform says
+  std::int64_t sidecars = 0;        // 0: as many as the platform says
+  std::int64_t region = 0;          // 1 to kMaxRegion; 0: not told
+  std::int64_t regionSidecars = 0;  // that should be in the region, this one among them; 0: not told
+  std::int64_t bytesPerSecond = Settings{}.bytesPerSecond;
   std::int64_t period = Settings{}.period;
   std::int64_t timeout = Settings{}.timeout;
   std::int64_t deafAfter = Settings{}.deafAfter;
--- a/src/sidecar/fleet_view.cpp
+++ b/src/sidecar/fleet_view.cpp
@@ -61,6 +61,9 @@
   settings.timeout = options.timeout;
   settings.deafAfter = options.deafAfter;
   settings.deafPart = options.deafPart;
+  settings.region = static_cast<std::uint8_t>(options.region);
+  settings.regionExpected = static_cast<std::uint32_t>(options.regionSidecars);
+  settings.bytesPerSecond = static_cast<std::uint32_t>(options.bytesPerSecond);
   settings.expected =
       options.sidecars > 0 ? static_cast<std::uint32_t>(options.sidecars) : std::max(1U, own.sidecars);
   try {
@@ -184,6 +187,7 @@
                            {"heard", members.heard()},
                            {"known", members.known() + 1},
                            {"part", members.part()},
+                           {"region", members.settings().region},
                            {"health", members.health()},
                            {"bytes_per_s", bytesPerSecond_},
                            {"datagrams",
--- a/tests/operator/file_test.cpp
+++ b/tests/operator/file_test.cpp
@@ -48,6 +48,10 @@
       value = "\"etcd\"";
     else if (old.front() == '"')
       value = "\"123ms\"";
+    else if (key.path == "peers.region")
+      value = "7";
+    else if (key.path == "peers.bytes_per_second")
+      value = "7700";
     else
       value = old.find('.') == std::string::npos ? "77" : "0.85";
     // The few that are bound to another are moved along with it.
@@ -73,6 +77,22 @@
   EXPECT_FALSE(thrifty[static_cast<std::size_t>(levels::Signal::ListAge)]);
 }
 
+TEST(OperatorFile, ReadsTheRegion) {
+  const File untold = parse("[peers]\non = true\nkey_file = \"k\"\n", "op.toml");
+  EXPECT_EQ(untold.peers.region, 0);
+  EXPECT_EQ(untold.peers.regionSidecars, 0);
+  EXPECT_EQ(untold.peers.bytesPerSecond, 6000);
+  const File file = parse(
+      "[peers]\non = true\nkey_file = \"k\"\nsidecars = 660\nregion = 2\nregion_sidecars = 330\n"
+      "bytes_per_second = 8000\n",
+      "op.toml");
+  EXPECT_EQ(file.peers.sidecars, 660);
+  EXPECT_EQ(file.peers.region, 2);
+  EXPECT_EQ(file.peers.regionSidecars, 330);
+  EXPECT_EQ(file.peers.bytesPerSecond, 8000);
+  EXPECT_FALSE(file.peers == untold.peers) << "a change of them is one at SIGHUP";
+}
+
 // One line each, that names file, line, key and what is allowed.
 TEST(OperatorFile, RefusesWhatIsWrongInOneLine) {
   const std::pair<const char*, const char*> rows[] = {
@@ -112,6 +132,24 @@
       {"[peers]\non = true\nkey_file = \"k\"\nseeds = [\"10.0.0.1:7946\", \"10.0.0.2\"]\n",
        "op.toml:1: peers: seeds: '10.0.0.2' is no address as 10.0.0.4:7946"},
       {"[peers]\nsidecars = 0\n", "op.toml:2: peers.sidecars: 0 is out of range; allowed is 1 to 4096"},
+      {"[peers]\nregion = 64\n", "op.toml:2: peers.region: 64 is out of range; allowed is 0 to 63"},
+      {"[peers]\nregion = -1\n", "op.toml:2: peers.region: -1 is out of range; allowed is 0 to 63"},
+      {"[peers]\nregion = \"north\"\n",
+       "op.toml:2: peers.region: \"north\" is no whole number; allowed is 0 to 63"},
+      {"[peers]\nregion_sidecars = 0\n",
+       "op.toml:2: peers.region_sidecars: 0 is out of range; allowed is 1 to 4096"},
+      {"[peers]\nbytes_per_second = 1999\n",
+       "op.toml:2: peers.bytes_per_second: 1999 is out of range; allowed is 2000 to 1000000"},
+      {"[peers]\nbytes_per_second = 1000001\n",
+       "op.toml:2: peers.bytes_per_second: 1000001 is out of range; allowed is 2000 to 1000000"},
+      {"[peers]\non = true\nkey_file = \"k\"\nregion = 1\n",
+       "op.toml:1: peers: region_sidecars is missing: how many sidecars there should be in this one's "
+       "region, "
+       "as 330"},
+      {"[peers]\non = true\nkey_file = \"k\"\nregion_sidecars = 6\n",
+       "op.toml:1: peers: region_sidecars counts for nothing without region; set region, 1 to 63, or leave "
+       "both "
+       "out"},
       {"[peers]\non = true\nkey_file = \"k\"\ntimeout = \"300ms\"\n",
        "op.toml:1: peers: timeout has to be under period"},
       {"[peers]\non = true\nkey_file = \"k\"\ndeaf_after = \"900ms\"\n",
