ivyfleet: zones and regions of sidecars, groups by them, and SIGHUP with another region

Cause: the plays of regions that lose each other need each sidecar told its region, and groups that are zones. Change: scenario keys zones and regions (zones in turn, regions by zones, so also of unequal size); an operator's file for each sidecar; events take zone and region beside share; the event reload writes the file anew with new_region and sends SIGHUP. Fewer zones than regions, more of them than sidecars and regions without peers are one line each.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -58,6 +58,8 @@
   json settings;
   std::uint16_t discoveryPort = 0, port = 0;
   std::string peerListen, peerAddress;  // where it hears the others, and where they reach it
+  std::string operatorFile;             // its path; empty: none
+  std::uint32_t region = 0;             // as its operator's file has it; 0: not told
   // Bound and never listening: keeps the sidecar's port ours from one process to the next.
   std::unique_ptr<tcp::socket> keeper;
   std::unique_ptr<Process> process;
@@ -116,6 +118,8 @@
     sidecar->name = "s" + std::to_string(n + 1);
     sidecar->config = options_.workDir + "/" + sidecar->name + ".json";
     sidecar->settings = settingsOf(scenario_, n);
+    sidecar->operatorFile = scenario_.operatorFile;
+    sidecar->region = scenario_.regionOf(n);
     sidecar->keeper = std::make_unique<tcp::socket>(io_, tcp::v4());
     sidecar->keeper->set_option(tcp::socket::reuse_address(true));
     sidecar->keeper->bind(tcp::endpoint(asio::ip::address_v4::loopback(), 0));
@@ -165,13 +169,26 @@
 }
 
 // The scenario's, and [peers] behind it.
-void Fleet::writeOperatorFile() {
-  const std::string key = options_.workDir + "/peers.key", path = options_.workDir + "/operator.toml";
-  std::ofstream(key) << std::string(64, 'a') << "\n";
-  std::ofstream file(path);
+void Fleet::writeOperatorFile(Sidecar& sidecar) {
+  const std::string key = options_.workDir + "/peers.key";
+  if (!std::ifstream(key)) std::ofstream(key) << std::string(64, 'a') << "\n";
+  sidecar.operatorFile = options_.workDir + "/" + sidecar.name + ".toml";
+  std::ofstream file(sidecar.operatorFile);
   if (!scenario_.operatorFile.empty()) file << std::ifstream(scenario_.operatorFile).rdbuf() << "\n";
   file << "[peers]\non = true\nkey_file = \"" << key << "\"\n";
-  scenario_.operatorFile = path;
+  if (sidecar.region == 0) return;
+  const auto inRegion = std::count_if(sidecars_.begin(), sidecars_.end(),
+                                      [&](const auto& one) { return one->region == sidecar.region; });
+  file << "region = " << sidecar.region << "\nregion_sidecars = " << inRegion << "\n";
+}
+
+// The files of the others stay as they are, also where their region has another size now.
+void Fleet::reload(const Event& event) {
+  for (const auto number : event.group) sidecars_[number]->region = event.region;
+  for (const auto number : event.group) {
+    writeOperatorFile(*sidecars_[number]);
+    sidecars_[number]->process->signal(SIGHUP);
+  }
 }
 
 void Fleet::put(Node& node, State state, Micros delay) {
@@ -201,7 +218,7 @@
   if (scenario_.cores < 1) sidecar.throttle.emplace(scenario_.cores, nowMicros());
   ++sidecar.result.starts;
   std::vector<std::string> arguments;
-  if (!scenario_.operatorFile.empty()) arguments = {"--operator", scenario_.operatorFile};
+  if (!sidecar.operatorFile.empty()) arguments = {"--operator", sidecar.operatorFile};
   sidecar.process = std::make_unique<Process>(io_, options_.program, arguments,
                                               std::vector<std::string>{"GW_CONFIG=" + sidecar.config},
                                               [this, &sidecar](const std::string& line) {
@@ -334,6 +351,9 @@
         sidecars_[number]->process->signal(SIGSTOP);
       }
       break;
+    case Kind::Reload:
+      reload(event);
+      break;
   }
   const bool ofNode = event.kind <= Kind::Fault;
   if (ofNode) what += " n" + std::to_string(event.target + 1);
@@ -411,6 +431,7 @@
     case Kind::Die:
     case Kind::Start:
     case Kind::Terminate:
+    case Kind::Reload:
       return;
   }
   say(std::string(nameOf(event.kind)) + " is over");
@@ -525,7 +546,8 @@
     if (!cancelled) interrupted_ = true;
   });
   build();
-  if (scenario_.peers) writeOperatorFile();
+  if (scenario_.peers)
+    for (const auto& sidecar : sidecars_) writeOperatorFile(*sidecar);
   if (options_.built) {
     std::vector<std::string> listens;
     for (const auto& sidecar : sidecars_) listens.push_back(sidecar->peerListen);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -103,7 +103,8 @@
   void put(Node& node, standins::Discovery::State state, Micros delay);
   // Of this tenant alone, or of all of them if it has no name.
   void loadBy(double factor, const std::string& tenant = {});
-  void writeOperatorFile();
+  void writeOperatorFile(Sidecar& sidecar);
+  void reload(const Event& event);
   void lay(const Event& event, const fault::Plan& plan);
   void cutOff(const std::vector<std::uint32_t>& from, const std::vector<std::uint32_t>& to,
               const fault::DatagramPlan& plan);
--- a/src/fleet/scenario.cpp
+++ b/src/fleet/scenario.cpp
@@ -20,9 +20,10 @@
 constexpr Micros kMaxLength = 24LL * 3600 * 1'000'000;
 constexpr std::size_t kMaxRows = 64, kMaxEvents = 1024;
 
-constexpr std::array<const char*, 14> kEvents = {
-    "hang", "drain",     "die",    "start",     "fault", "discovery-down", "discovery-silent",
-    "load", "partition", "deafen", "datagrams", "kill",  "terminate",      "pause"};
+constexpr std::array<const char*, 15> kEvents = {
+    "hang",  "drain",     "die",    "start",     "fault", "discovery-down", "discovery-silent",
+    "load",  "partition", "deafen", "datagrams", "kill",  "terminate",      "pause",
+    "reload"};
 
 Micros within(Table& table, std::string_view key, Micros low, Micros high, Micros fallback) {
   const Micros value = table.duration(key, fallback);
@@ -61,23 +62,42 @@
   return cls;
 }
 
-// Sidecars named by their numbers, by one alone, or as a share of all, drawn by the seed and the event's
-// time.
+// All sidecars, or those of the zone or region that stands there.
+std::vector<std::uint32_t> readPlace(Table& table, const Scenario& scenario) {
+  const auto number = [&](const char* key, std::uint32_t most) {
+    if (!table.has(key)) return 0U;
+    if (most == 0) table.fail(key, std::string("the scenario has none; set ") + key + "s");
+    return static_cast<std::uint32_t>(table.integer(key, 1, most));
+  };
+  const std::uint32_t zone = number("zone", scenario.zones), region = number("region", scenario.regions);
+  std::vector<std::uint32_t> numbers;
+  for (std::uint32_t n = 0; n < scenario.sidecars; ++n)
+    if ((zone == 0 || scenario.zoneOf(n) == zone) && (region == 0 || scenario.regionOf(n) == region))
+      numbers.push_back(n);
+  return numbers;
+}
+
+// Sidecars named by their numbers, by one alone, by their zone or region, or as a share of these or of all,
+// drawn by the seed and the event's time.
 std::vector<std::uint32_t> readSidecars(Table& table, const char* list, const Scenario& scenario, Micros at) {
   std::vector<std::uint32_t> numbers;
-  if (table.has("share") && list == std::string_view("group")) {
-    const double share = table.number("share", 0, 1);
-    for (std::uint32_t n = 0; n < scenario.sidecars; ++n) numbers.push_back(n);
-    std::mt19937_64 random(scenario.seed + static_cast<std::uint64_t>(at));
-    std::shuffle(numbers.begin(), numbers.end(), random);
-    numbers.resize(static_cast<std::size_t>(std::lround(share * scenario.sidecars)));
-  } else if (table.has("sidecar") && list == std::string_view("group")) {
+  const bool group = list == std::string_view("group");
+  if (group && (table.has("share") || table.has("zone") || table.has("region"))) {
+    numbers = readPlace(table, scenario);
+    if (table.has("share")) {
+      const double share = table.number("share", 0, 1);
+      std::mt19937_64 random(scenario.seed + static_cast<std::uint64_t>(at));
+      std::shuffle(numbers.begin(), numbers.end(), random);
+      numbers.resize(static_cast<std::size_t>(std::lround(share * static_cast<double>(numbers.size()))));
+    }
+  } else if (group && table.has("sidecar")) {
     numbers.push_back(static_cast<std::uint32_t>(table.integer("sidecar", 1, scenario.sidecars)) - 1);
   } else {
     for (const auto number : table.integers(list, 1, scenario.sidecars, kMaxSidecars))
       numbers.push_back(static_cast<std::uint32_t>(number) - 1);
   }
-  if (numbers.empty()) table.fail(list, "no sidecar is named, by 'sidecar', 'share' or a list of numbers");
+  if (numbers.empty())
+    table.fail(list, "no sidecar is named, by 'sidecar', 'share', 'zone', 'region' or a list of numbers");
   return numbers;
 }
 
@@ -119,6 +139,11 @@
     case Kind::Pause:
       event.group = readSidecars(table, "group", scenario, event.at);
       break;
+    case Kind::Reload:
+      if (scenario.regions == 0) table.fail("do", "the scenario has no regions to change; set regions");
+      event.group = readSidecars(table, "group", scenario, event.at);
+      event.region = static_cast<std::uint32_t>(table.integer("new_region", 0, scenario.regions));
+      break;
     case Kind::Terminate:
       event.target = static_cast<std::uint32_t>(table.integer("sidecar", 1, scenario.sidecars)) - 1;
       break;
@@ -134,7 +159,7 @@
       break;
   }
   const bool lasts = event.kind != Kind::Drain && event.kind != Kind::Die && event.kind != Kind::Start &&
-                     event.kind != Kind::Terminate;
+                     event.kind != Kind::Terminate && event.kind != Kind::Reload;
   if (lasts) event.length = table.duration("for");
   if (event.kind == Kind::Fault) {
     if (table.has("group")) event.group = readSidecars(table, "group", scenario, event.at);
@@ -173,6 +198,19 @@
   if (scenario.tenants.empty()) scenario.tenants.push_back({"escuela", 1});
 }
 
+void readPlaces(Table& root, Scenario& scenario) {
+  scenario.regions = static_cast<std::uint32_t>(root.integer("regions", 1, kMaxSidecars, 0));
+  scenario.zones = static_cast<std::uint32_t>(root.integer("zones", 1, kMaxSidecars, scenario.regions));
+  if (scenario.regions > 0 && !scenario.peers)
+    root.fail("regions", "sidecars say nothing to each other; set peers = true");
+  if (scenario.zones < scenario.regions)
+    root.fail("zones", "fewer zones than regions, and each region has one at least; set zones = " +
+                           std::to_string(scenario.regions) + " or more, or fewer regions");
+  if (scenario.zones > scenario.sidecars)
+    root.fail(root.has("zones") ? "zones" : "regions",
+              "more than sidecars; set sidecars = " + std::to_string(scenario.zones) + " or more");
+}
+
 Scenario read(const configfile::Document& document) {
   Scenario scenario;
   Table root = document.root();
@@ -193,6 +231,7 @@
   scenario.probes = root.flag("probes", true);
   scenario.peers = root.flag("peers", false);
   scenario.secondCopies = root.flag("second_copies", true);
+  readPlaces(root, scenario);
   auto& rules = scenario.rules;
   rules.keyWindow = within(root, "key_window", 0, 600'000'000, rules.keyWindow);
   rules.drainGrace = within(root, "drain_grace", 0, 600'000'000, rules.drainGrace);
@@ -222,6 +261,14 @@
   return count;
 }
 
+std::uint32_t Scenario::zoneOf(std::uint32_t sidecar) const {
+  return zones == 0 ? 0 : 1 + sidecar % zones;
+}
+
+std::uint32_t Scenario::regionOf(std::uint32_t sidecar) const {
+  return regions == 0 ? 0 : 1 + sidecar % zones % regions;
+}
+
 Scenario readScenario(const std::string& path) {
   return read(configfile::Document::read(path));
 }
--- a/src/fleet/scenario.h
+++ b/src/fleet/scenario.h
@@ -56,13 +56,15 @@
     Kill,             // the sidecars get SIGKILL, and start again after `length`
     Terminate,        // the sidecar gets SIGTERM, and starts again when it has ended
     Pause,            // the sidecars get SIGSTOP, and go on after `length`
+    Reload,           // the sidecars' operator's files have `region` from now on, and they get SIGHUP
   };
   Kind kind = Kind::Hang;
   Micros at = 0, length = 0;
   std::uint32_t target = 0;  // the node's or sidecar's number, from 0
-  // Sidecars, by their numbers from 0; of Kill, Pause and Fault too. A share of them is drawn by the
-  // scenario's seed.
+  // Sidecars, by their numbers from 0; of Kill, Pause, Reload and Fault too. A share of them, or of a zone's
+  // or region's, is drawn by the scenario's seed.
   std::vector<std::uint32_t> group, to;
+  std::uint32_t region = 0;  // of Reload; 0: none told
   fault::DatagramPlan datagrams;
   double factor = 1;
   std::string tenant;  // of Load: whose alone; empty: everybody's
@@ -90,10 +92,16 @@
   Micros notice = 1'000'000;  // from a change to when discovery tells it
   bool probes = true, secondCopies = true;
   bool peers = false;  // sidecars find each other and share judgements; each way between two has its faults
+  // Sidecars go to the zones in turn, and zones to the regions; a zone is in one region. Zones only name
+  // groups for events; the region is told to each sidecar, with how many are in it. 0: none.
+  std::uint32_t zones = 0, regions = 0;
   standins::Rules rules;
   std::vector<Event> events;  // in the order of their times
 
   std::uint32_t nodeCount() const;
+  // Of the sidecar by its number from 0, each from 1; 0: there are none.
+  std::uint32_t zoneOf(std::uint32_t sidecar) const;
+  std::uint32_t regionOf(std::uint32_t sidecar) const;
 };
 
 constexpr std::uint32_t kMaxSidecars = 64, kMaxNodes = 256;
--- a/tests/fleet/scenario_test.cpp
+++ b/tests/fleet/scenario_test.cpp
@@ -66,6 +66,29 @@
   EXPECT_EQ(scenario.events[4].group, (std::vector<std::uint32_t>{3}));
 }
 
+// Zones go to the regions in turn, so regions may be of unequal size: a third of the sidecars here.
+TEST(Scenario, ReadsRegionsAndZonesAndNamesSidecarsByThem) {
+  const std::string head =
+      "name = \"n\"\nsidecars = 18\npeers = true\nregions = 2\nzones = 3\n[[node]]\n[[class]]\nname = \"a\"\n"
+      "effect = \"safe\"\n";
+  const Scenario scenario =
+      parseScenario(head +
+                        "[[event]]\nat = \"1s\"\ndo = \"partition\"\nregion = 2\nfor = \"3s\"\n"
+                        "[[event]]\nat = \"2s\"\ndo = \"kill\"\nzone = 3\nfor = \"3s\"\n"
+                        "[[event]]\nat = \"3s\"\ndo = \"kill\"\nregion = 1\nshare = 0.5\nfor = \"3s\"\n"
+                        "[[event]]\nat = \"4s\"\ndo = \"reload\"\ngroup = [1, 4]\nnew_region = 2\n",
+                    "s");
+  const std::vector<std::uint32_t> second = {1, 4, 7, 10, 13, 16}, third = {2, 5, 8, 11, 14, 17};
+  ASSERT_EQ(scenario.events.size(), 4u);
+  EXPECT_EQ(scenario.events[0].group, second);
+  EXPECT_EQ(scenario.events[1].group, third);
+  EXPECT_EQ(scenario.events[2].group.size(), 6u);
+  for (const auto n : scenario.events[2].group) EXPECT_EQ(scenario.regionOf(n), 1u) << n;
+  EXPECT_EQ(scenario.events[3].group, (std::vector<std::uint32_t>{0, 3}));
+  EXPECT_EQ(scenario.events[3].region, 2u);
+  EXPECT_EQ(parseScenario(kLeast, "s").regionOf(2), 0u);
+}
+
 TEST(Scenario, ReadsPartsOfACoreAndOneTenantsLoad) {
   const Scenario scenario =
       parseScenario("cores = 0.1\noperator = \"op.toml\"\nconnections = 500\n" + kLeast +
@@ -95,7 +118,26 @@
       {"peers = true\n" + kLeast + "[[event]]\ndo = \"partition\"\ngroup = [4]\nfor = \"1s\"",
        "s:9: event[1].group: 4 is not allowed in the list; allowed is 1 to 3"},
       {"peers = true\n" + kLeast + "[[event]]\ndo = \"partition\"\nfor = \"1s\"",
-       "s:7: event[1].group: no sidecar is named, by 'sidecar', 'share' or a list of numbers"},
+       "s:7: event[1].group: no sidecar is named, by 'sidecar', 'share', 'zone', 'region' or a list of "
+       "numbers"},
+      {"peers = true\nregions = 3\nzones = 2\n" + kLeast,
+       "s:3: zones: fewer zones than regions, and each region has one at least; set zones = 3 or more, or "
+       "fewer "
+       "regions"},
+      {"peers = true\nregions = 4\n" + kLeast, "s:2: regions: more than sidecars; set sidecars = 4 or more"},
+      {"zones = 4\n" + kLeast, "s:1: zones: more than sidecars; set sidecars = 4 or more"},
+      {"regions = 2\n" + kLeast, "s:1: regions: sidecars say nothing to each other; set peers = true"},
+      {"regions = 0\n" + kLeast, "s:1: regions: 0 is out of range; allowed is 1 to 64"},
+      {kLeast + "[[event]]\ndo = \"kill\"\nzone = 1\nfor = \"1s\"",
+       "s:8: event[1].zone: the scenario has none; set zones"},
+      {"zones = 2\n" + kLeast + "[[event]]\ndo = \"kill\"\nregion = 1\nfor = \"1s\"",
+       "s:9: event[1].region: the scenario has none; set regions"},
+      {"zones = 2\n" + kLeast + "[[event]]\ndo = \"kill\"\nzone = 3\nfor = \"1s\"",
+       "s:9: event[1].zone: 3 is out of range; allowed is 1 to 2"},
+      {kLeast + "[[event]]\ndo = \"reload\"\nsidecar = 1\nnew_region = 1",
+       "s:7: event[1].do: the scenario has no regions to change; set regions"},
+      {"peers = true\nregions = 2\n" + kLeast + "[[event]]\ndo = \"reload\"\nsidecar = 1\nnew_region = 3",
+       "s:11: event[1].new_region: 3 is out of range; allowed is 0 to 2"},
       {kLeast + "[[event]]\ndo = \"hang\"\nnode = 1", "s:6: event[1]: the key 'for' is missing"},
       {kLeast + "[[event]]\ndo = \"drain\"\nnode = 1\nfor = \"1s\"",
        "s:9: event[1].for: there is no such key; did you mean 'do'?"},
