--- a/tests/scale/runs_test.cpp
+++ b/tests/scale/runs_test.cpp
@@ -1,8 +1,8 @@
 // Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
 //
 // A short size of each run: the figures of the size that is coming are shown by ivyscale, and here it is
-// watched that the slope does not return. What all know of each other reaches all in a time that does not grow
-// with the fleet; as it was before anti-entropy, the time grew as the fleet did.
+// watched that the slope does not return. What all know of each other reaches all in a time that does not
+// grow with the fleet; as it was before anti-entropy, the time grew as the fleet did.
 #include "scale/runs.h"
 
 #include <gtest/gtest.h>
@@ -53,7 +53,8 @@
   return (secondsOf(run(large), stage) - kLook) / secondsOf(run(small), stage);
 }
 
-// ---- The slope, and that the same bound finds it where it is ------------------------------------------------
+// ---- The slope, and that the same bound finds it where it is
+// ------------------------------------------------
 
 TEST(Runs, AStartTakesNoLongerForFourTimesTheSidecars) {
   EXPECT_LE(slopeOf(Event::Start, "all hear all", true), kSlope);
@@ -66,7 +67,8 @@
   EXPECT_GT(slopeOf(Event::Zone, "hears all", false), kSlope);
 }
 
-// ---- Each event at a short size, by the operators' bounds -----------------------------------------------------
+// ---- Each event at a short size, by the operators' bounds
+// -----------------------------------------------------
 
 TEST(Runs, AllAtOnceHearAllWithinEightSeconds) {
   const Figures figures = run(planOf(Event::Start, kLarge));
@@ -117,7 +119,8 @@
   EXPECT_NEAR(figures.receivedMean / figures.sentMean, 0.99, 0.01);
 }
 
-// ---- The run itself -----------------------------------------------------------------------------------------
+// ---- The run itself
+// -----------------------------------------------------------------------------------------
 
 TEST(Runs, TheSamePlanGivesTheSameFigures) {
   const Plan plan = planOf(Event::Return, kSmall);
--- a/tools/ivyscale/main.cpp
+++ b/tools/ivyscale/main.cpp
@@ -252,14 +252,12 @@
     }
   }
   std::printf(
-      "\nseconds: median / worst of the seeds; all else the worst of them. sent, recvd: bytes a second a "
-      "sidecar "
-      "with %zu\nbytes of headers a datagram, worst: of any one in its worst second. cpu: microseconds a "
-      "sidecar "
-      "and simulated second of\nthe whole simulation, and of Members alone. Nothing here has a socket, a "
-      "seal or "
-      "a data plane.\n",
-      28);
+      "\nseconds: median / worst of the seeds; all else the worst of them. sent, recvd: bytes a second a\n"
+      "sidecar with %zu bytes of headers a datagram, worst: of any one in its worst second. cpu: "
+      "microseconds\n"
+      "a sidecar and simulated second of the whole simulation, and of Members alone. Nothing here has a\n"
+      "socket, a seal or a data plane.\n",
+      ivypost::peers::kDatagramOverhead);
 }
 
 std::ofstream openJson(const std::string& path) {
@@ -352,13 +350,12 @@
                 f.realOffMemory / 1e6);
   }
   std::printf(
-      "real in a hollow sidecar: membership, judgements (none are made), the seal, its socket and timers. "
-      "Hollow: "
-      "no data\nplane, no list of upstreams, no operators' calls, no configuration; datagrams go over "
-      "loopback, "
-      "which loses nothing.\nBytes are with %zu of headers a datagram; `before`: from the start until all "
-      "heard "
-      "all.\n",
+      "real in a hollow sidecar: membership, judgements (none are made), the seal, its socket and timers.\n"
+      "Hollow: no data plane, no list of upstreams, no operators' calls, no configuration; datagrams go "
+      "over\n"
+      "loopback, which loses nothing. Bytes are with %zu of headers a datagram; before: from the start "
+      "until\n"
+      "all heard all.\n",
       ivypost::peers::kDatagramOverhead);
 }
 
