--- a/src/scale/hollow.cpp
+++ b/src/scale/hollow.cpp
@@ -172,6 +172,7 @@
   }
 
  private:
+  // NOLINTNEXTLINE(bugprone-exception-escape): the JSON library's moves may throw where memory has run out.
   struct Worker {
     std::uint32_t count = 0;
     std::unique_ptr<fleet::Process> process;
