--- a/tools/ivyscale/main.cpp
+++ b/tools/ivyscale/main.cpp
@@ -167,7 +167,6 @@
           {"memory_bytes", f.memory}};
 }
 
-// The worst of the seeds, with the median beside it.
 std::string worst(std::vector<double> values, const char* form) {
   if (values.empty()) return "-";
   std::sort(values.begin(), values.end());
@@ -194,7 +193,9 @@
     std::snprintf(text.data(), text.size(), "not in %.0f (%zu of %zu)", cap, missed, reached.size() + missed);
   } else if (!reached.empty()) {
     std::sort(reached.begin(), reached.end());
-    std::snprintf(text.data(), text.size(), "%.2f / %.2f", reached[reached.size() / 2], reached.back());
+    const std::size_t half = reached.size() / 2;
+    const double median = reached.size() % 2 == 1 ? reached[half] : (reached[half - 1] + reached[half]) / 2;
+    std::snprintf(text.data(), text.size(), "%.2f / %.2f", median, reached.back());
   }
   return text.data();
 }
