--- a/bench/list_scale.cpp
+++ b/bench/list_scale.cpp
@@ -89,7 +89,7 @@
   measure(10);  // warms up
   const Costs ten = measure(10);
   std::printf("upstreams  us a request (x ten's)  a push of 1  of 100  of the whole list\n");
-  for (const UpstreamId upstreams : {10U, 60U, 1000U}) {
+  for (const UpstreamId upstreams : {10U, 60U, 330U, 660U, 1000U, 1320U}) {
     const Costs c = measure(upstreams);
     std::printf("%9u  %8.2f (%6.1f)  %8.2f (%6.1f)  %8.2f (%6.1f)  %8.2f (%6.1f)\n", upstreams, c.request,
                 c.request / ten.request, c.oneChange, c.oneChange / ten.oneChange, c.hundredChanges,
