--- a/bench/added_latency.cpp
+++ b/bench/added_latency.cpp
@@ -7,6 +7,8 @@
 // it was due, so that a late client or a queue hides nothing. The client spins and writes down how late it is
 // itself; a round in which it is late is void and counted as such.
 //
+// With --relay a third turn goes through a bare relay of bytes: what any process in between would add here.
+//
 // Control: processor time, memory and bytes with no traffic at all: at rest, at one change of the list a
 // second, at a whole list a second.
 //
@@ -75,7 +77,7 @@
   std::int64_t workUs = 1000;
   std::uint32_t sidecars = 660;  // that the module is told of
   std::uint64_t seed = 1;
-  bool control = false, asJson = false;
+  bool control = false, relay = false, asJson = false;
 };
 
 // Nodes that answer every GET after a fixed time, on one thread, each at a port of its own; and discovery,
@@ -270,6 +272,62 @@
   std::unique_ptr<ivypost::fleet::Process> process_;
 };
 
+// Bytes from each connection to one of the nodes and back, on a thread of its own, and nothing else.
+class Relay {
+ public:
+  explicit Relay(std::vector<tcp::endpoint> nodes) : nodes_(std::move(nodes)), acceptor_(io_, kAny) {
+    accept();
+    thread_ = std::thread([this] { io_.run(); });
+  }
+  ~Relay() {
+    io_.stop();
+    thread_.join();
+  }
+  Relay(const Relay&) = delete;
+  Relay& operator=(const Relay&) = delete;
+  tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+
+ private:
+  struct OneWay : std::enable_shared_from_this<OneWay> {
+    OneWay(std::shared_ptr<tcp::socket> in, std::shared_ptr<tcp::socket> out)
+        : from(std::move(in)), to(std::move(out)) {}
+    void run() {
+      from->async_read_some(asio::buffer(bytes),
+                            [self = shared_from_this()](error_code error, std::size_t n) {
+                              error_code ignored;
+                              if (error) {
+                                self->to->close(ignored);
+                                return;
+                              }
+                              asio::async_write(*self->to, asio::buffer(self->bytes.data(), n),
+                                                [self](error_code failed, std::size_t) {
+                                                  if (!failed) self->run();
+                                                });
+                            });
+    }
+    std::shared_ptr<tcp::socket> from, to;
+    std::array<char, 16384> bytes{};
+  };
+  void accept() {
+    acceptor_.async_accept([this](error_code error, tcp::socket socket) {
+      if (error) return;
+      const auto near = std::make_shared<tcp::socket>(std::move(socket)),
+                 far = std::make_shared<tcp::socket>(io_);
+      far->connect(nodes_[next_++ % nodes_.size()]);
+      for (const auto& one : {near, far}) one->set_option(tcp::no_delay(true));
+      std::make_shared<OneWay>(near, far)->run();
+      std::make_shared<OneWay>(far, near)->run();
+      accept();
+    });
+  }
+
+  asio::io_context io_{1};
+  const std::vector<tcp::endpoint> nodes_;
+  std::size_t next_ = 0;
+  tcp::acceptor acceptor_;
+  std::thread thread_;
+};
+
 // One turn: calls when they are due, whatever became of those before.
 class Client {
  public:
@@ -453,21 +511,28 @@
   std::vector<tcp::endpoint> nodes;
   for (std::size_t n = 0; n < std::min<std::size_t>(count, kReadyConnections); ++n)
     nodes.push_back(upstreams.node(n));
+  std::unique_ptr<Relay> relay;
+  std::unique_ptr<Client> relayed;
+  if (options.relay) {
+    relay = std::make_unique<Relay>(nodes);
+    relayed = std::make_unique<Client>(io, std::vector{relay->address()});
+  }
   Client direct(io, nodes), through(io, {sidecar.address()});
-  std::array<std::vector<double>, kParts.size()> added;
+  std::array<std::vector<double>, kParts.size()> added, byRelay;
   std::vector<double> allDirect, allThrough, callUs, late;
   std::uint32_t voids = 0;
   std::uint64_t failed = 0, opened = 0, calls = 0;
   json rounds = json::array();
   for (std::uint32_t round = 0; round <= options.rounds; ++round) {
     const std::uint64_t seed = options.seed * 1000 + round;
-    Client::Result one, other;
+    Client::Result one, other, bare;
     double used = 0;
     const auto turnThrough = [&] {
       const double before = sidecar.processorUs();
       other = through.play(options.rate, options.seconds, seed);
       used = sidecar.processorUs() - before;
     };
+    if (relayed) bare = relayed->play(options.rate, options.seconds, seed);
     if (round % 2 == 0) {  // neither turn is always the later one
       one = direct.play(options.rate, options.seconds, seed);
       turnThrough();
@@ -477,7 +542,8 @@
     }
     if (!options.asJson) std::fprintf(stderr, "\r%u upstreams: round %u of %u", count, round, options.rounds);
     if (round == 0) continue;  // connections are made and upstreams met in it
-    const double lateness = std::max(quantile(one.lateMs, 0.99), quantile(other.lateMs, 0.99));
+    double lateness = std::max(quantile(one.lateMs, 0.99), quantile(other.lateMs, 0.99));
+    if (relayed) lateness = std::max(lateness, quantile(bare.lateMs, 0.99));
     const bool isVoid = !(lateness <= kLatenessMs);
     json figures = {{"late_p99_ms", lateness},
                     {"late_max_ms", std::max(quantile(one.lateMs, 1), quantile(other.lateMs, 1))},
@@ -489,6 +555,9 @@
       figures["direct"][kNames[n]] = near;
       figures["through"][kNames[n]] = far;
       if (!isVoid) added[n].push_back(far - near);
+      if (!relayed) continue;
+      figures["relay"][kNames[n]] = quantile(bare.tookMs, kParts[n]);
+      if (!isVoid) byRelay[n].push_back(quantile(bare.tookMs, kParts[n]) - near);
     }
     rounds.push_back(figures);
     if (isVoid) {
@@ -518,6 +587,7 @@
     result["direct_ms"][kNames[n]] = quantile(allDirect, kParts[n]);
     result["through_ms"][kNames[n]] = quantile(allThrough, kParts[n]);
     result["added_ms"][kNames[n]] = spread(added[n]);
+    if (relayed) result["relay_added_ms"][kNames[n]] = spread(byRelay[n]);
   }
   if (!options.asJson) std::fputs("\r\x1b[K", stderr);
   return result;
@@ -534,6 +604,8 @@
     };
     std::printf("  %-6s direct %8.3f ms  through %8.3f ms  added by round %s ms\n", name, all("direct_ms"),
                 all("through_ms"), show(r["added_ms"][name]).c_str());
+    if (r.contains("relay_added_ms"))
+      std::printf("         a bare relay adds %s ms\n", show(r["relay_added_ms"][name]).c_str());
   }
   std::printf("  processor %s us a call; resident %.1f MB at the start, %.1f MB after, %.1f MB peak\n",
               show(r["processor_us_a_call"]).c_str(), r["resident_mb_at_start"].get<double>(),
@@ -635,6 +707,7 @@
       ->check(CLI::Range(1, 1'000'000));
   app.add_option("--seed", options.seed, "of the arrivals");
   app.add_flag("--control", options.control, "measures the control part, with no traffic, in place of calls");
+  app.add_flag("--relay", options.relay, "a third turn, through a bare relay");
   app.add_flag("--json", options.asJson, "prints all figures as JSON");
   CLI11_PARSE(app, argc, argv);
   try {
