--- a/tools/ivyscale/main.cpp
+++ b/tools/ivyscale/main.cpp
@@ -167,7 +167,6 @@
           {"memory_bytes", f.memory}};
 }
 
-// The worst of the seeds, with the median beside it.
 std::string worst(std::vector<double> values, const char* form) {
   if (values.empty()) return "-";
   std::sort(values.begin(), values.end());
@@ -194,7 +193,9 @@
     std::snprintf(text.data(), text.size(), "not in %.0f (%zu of %zu)", cap, missed, reached.size() + missed);
   } else if (!reached.empty()) {
     std::sort(reached.begin(), reached.end());
-    std::snprintf(text.data(), text.size(), "%.2f / %.2f", reached[reached.size() / 2], reached.back());
+    const std::size_t half = reached.size() / 2;
+    const double median = reached.size() % 2 == 1 ? reached[half] : (reached[half - 1] + reached[half]) / 2;
+    std::snprintf(text.data(), text.size(), "%.2f / %.2f", median, reached.back());
   }
   return text.data();
 }
@@ -252,14 +253,12 @@
     }
   }
   std::printf(
-      "\nseconds: median / worst of the seeds; all else the worst of them. sent, recvd: bytes a second a "
-      "sidecar "
-      "with %zu\nbytes of headers a datagram, worst: of any one in its worst second. cpu: microseconds a "
-      "sidecar "
-      "and simulated second of\nthe whole simulation, and of Members alone. Nothing here has a socket, a "
-      "seal or "
-      "a data plane.\n",
-      28);
+      "\nseconds: median / worst of the seeds; all else the worst of them. sent, recvd: bytes a second a\n"
+      "sidecar with %zu bytes of headers a datagram, worst: of any one in its worst second. cpu: "
+      "microseconds\n"
+      "a sidecar and simulated second of the whole simulation, and of Members alone. Nothing here has a\n"
+      "socket, a seal or a data plane.\n",
+      ivypost::peers::kDatagramOverhead);
 }
 
 std::ofstream openJson(const std::string& path) {
@@ -352,13 +351,12 @@
                 f.realOffMemory / 1e6);
   }
   std::printf(
-      "real in a hollow sidecar: membership, judgements (none are made), the seal, its socket and timers. "
-      "Hollow: "
-      "no data\nplane, no list of upstreams, no operators' calls, no configuration; datagrams go over "
-      "loopback, "
-      "which loses nothing.\nBytes are with %zu of headers a datagram; `before`: from the start until all "
-      "heard "
-      "all.\n",
+      "real in a hollow sidecar: membership, judgements (none are made), the seal, its socket and timers.\n"
+      "Hollow: no data plane, no list of upstreams, no operators' calls, no configuration; datagrams go "
+      "over\n"
+      "loopback, which loses nothing. Bytes are with %zu of headers a datagram; before: from the start "
+      "until\n"
+      "all heard all.\n",
       ivypost::peers::kDatagramOverhead);
 }
 
