Scale: the simulated timer is armed anew after each datagram, as the real one is

Cause: a member that has something to do because of a datagram waited for its next period in simulated time; PeersIo arms its timer after each datagram. Change: SimulatedNetwork wakes a member after a delivery; of the queued ticks only the last one set counts.

--- a/src/scale/simulated_network.h
+++ b/src/scale/simulated_network.h
@@ -101,6 +101,7 @@
     node.waiting.clear();
     node.paused = false;
     ++node.life;
+    node.wakeAt = 0;
     wake(number);
     return *node.members;
   }
@@ -116,6 +117,7 @@
     std::vector<Outgoing> out;
     for (const Message& message : std::exchange(node.waiting, {})) node.members->receive(message, now, out);
     carry(number, out);
+    node.wakeAt = 0;
     wake(number);
   }
   Members& at(std::size_t number) { return *nodes_[number].members; }
@@ -137,7 +139,9 @@
       now = std::max(now, event.at);
       if (event.message != nullptr) {
         deliver(event.to, *event.message, event.bytes);
-      } else if (runs(event.to) && event.life == nodes_[event.to].life && !nodes_[event.to].paused) {
+      } else if (runs(event.to) && event.life == nodes_[event.to].life && !nodes_[event.to].paused &&
+                 event.at == nodes_[event.to].wakeAt) {
+        nodes_[event.to].wakeAt = 0;
         std::vector<Outgoing> out;
         measured([&] { at(event.to).tick(now, out); });
         carry(event.to, out);
@@ -163,6 +167,7 @@
     std::unique_ptr<Members> members;
     std::uint32_t life = 0;
     bool paused = false;
+    Micros wakeAt = 0;
     std::deque<Message> waiting;
     Account account;
   };
@@ -191,8 +196,13 @@
     if (measureMembers) membersNanos += threadNanos() - from;
   }
   double uniform() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
+  // As a timer that is armed anew after each event: of those queued only the last one set counts.
   void wake(std::size_t number) {
-    events_.push({std::max(now + 1, at(number).next()), ++order_, number, nodes_[number].life, nullptr, 0});
+    Node& node = nodes_[number];
+    const Micros next = std::max(now + 1, at(number).next());
+    if (node.wakeAt == next) return;
+    node.wakeAt = next;
+    events_.push({next, ++order_, number, node.life, nullptr, 0});
   }
   void deliver(std::size_t to, const Message& message, std::size_t bytes) {
     if (!runs(to)) return;
@@ -205,6 +215,7 @@
     node.account.received.add(bytes, now);
     measured([&] { node.members->receive(message, now, out); });
     carry(to, out);
+    wake(to);
   }
   void carry(std::size_t from, std::vector<Outgoing>& out) {
     for (Outgoing& one : out) {
