--- a/src/peers/members.h
+++ b/src/peers/members.h
@@ -3,12 +3,17 @@
 // Who else is there: SWIM (Das, Gupta, Motivala 2002) with Lifeguard (Dadgar, Phillips, Currey 2017). Free of
 // I/O, clock and chance of its own: handle() is told everything, its random numbers come from a seed.
 //
+// Rumours make a change known fast and may miss somebody; anti-entropy (Demers et al. 1987) is what makes all
+// agree: each ping and ack carries digests of the sender's table, and who sees another's differ from its own
+// pulls what it lacks. exchange.cpp has it; docs/design/fleet-size.md what was weighed.
+//
 // What holds always: nobody is taken for heard on another's word alone beyond the time that a suspicion
-// takes; nobody is dead but by an incarnation that it can outbid; the table, the messages of a period and the
-// bytes of a message are bounded, whatever is sent to it.
-// By whose clock: its own monotonic one. No time that another tells is compared with it.
-// Who hears nothing: is deaf() by its own clock after Settings::deafAfter at the latest, also right after a
-// stop of the process, before the first message is read: it is computed from the time, not from an event.
+// takes; nobody is dead but by an incarnation that it can outbid; what one believes of another only ever
+// rises in (incarnation, state), whichever way it came; the table, the bytes of a message and the bytes sent
+// in any second are bounded, whatever is sent to it. By whose clock: its own monotonic one. No time that
+// another tells is compared with it. Who hears nothing: is deaf() by its own clock after Settings::deafAfter
+// at the latest, also right after a stop of the process, before the first message is read: it is computed
+// from the time, not from an event.
 #ifndef IVYPOST_PEERS_MEMBERS_H_
 #define IVYPOST_PEERS_MEMBERS_H_
 
@@ -21,6 +26,8 @@
 #include <utility>
 #include <vector>
 
+#include "peers/byte_budget.h"
+#include "peers/filter.h"
 #include "peers/message.h"
 #include "peers/replay_window.h"
 
@@ -50,7 +57,6 @@
   bool antiEntropy = true;
 };
 
-constexpr std::uint8_t kMaxRegion = 63;
 // Of IPv4 without options and UDP (RFC 791, RFC 768).
 constexpr std::size_t kDatagramOverhead = 28;
 
@@ -67,6 +73,37 @@
 // News go to so many at once, and those who learn of them pass them on; so often a second at the most.
 constexpr std::uint32_t kFanOut = 3;
 constexpr double kNewsPerSecond = 8;
+// A suspicion's time grows with the members up to 10 to this power. Beyond, the refutation still comes in
+// time: rumours go out each kGossipEvery, not each period.
+constexpr double kMostMagnitude = 2;
+// Of those who hear of a suspicion so many probe the suspect out of turn, so that its witnesses or its
+// refutation come in a time that does not grow with the fleet.
+constexpr double kProbers = 6;
+// While there is something to tell or to fetch: between two turns of it.
+constexpr Micros kGossipEvery = 100'000;
+constexpr std::uint32_t kGossipFanOut = 2;
+// Pages that answer one pull, pulls that wait to be answered, and for how long, and pulls that are out.
+constexpr std::uint32_t kPagesPerPull = 4;
+constexpr std::size_t kMaxPending = 8, kMaxPulls = 3;
+constexpr Micros kPullTimeout = 500'000;
+// Of Settings::bytesPerSecond: what comes back each second, what may be saved up, and what may be overdrawn
+// by what the protocol can't do without. Their sum is what goes out in any second at the most.
+constexpr double kRatePart = 0.85, kDepthPart = 0.1, kDebtPart = 0.05;
+// And what asking and telling may cost of it, so that there is room for answers.
+constexpr double kPullPart = 0.25, kGossipPart = 0.4;
+// After a pull that brought nothing new the next waits twice as long, from the first up to the second.
+constexpr Micros kPullGap = 100'000, kMaxPullGap = 1'000'000;
+// Who has started fetches the table first, and probes nobody meanwhile: while all start at once each would
+// probe the few that it knows, the seeds above all. It ends with this part of what others know, and by
+// kMaxJoining.
+constexpr double kJoined = 0.8;
+constexpr Micros kLeastJoining = 1'000'000, kMaxJoining = 8'000'000;
+// Others whose tables were seen to differ, and for how long that is believed.
+constexpr std::size_t kMaxDiffering = 8;
+constexpr Micros kDiffersFor = 2'000'000;
+// Addresses of those that were forgotten while dead, to be tried now and then: after a long cut two sides
+// find each other by them.
+constexpr std::size_t kMaxLost = 32;
 // A gap between two ticks of so many periods is a stop of this process, not of the others.
 constexpr double kStopped = 4;
 
@@ -91,7 +128,9 @@
   void tick(Micros now, std::vector<Outgoing>& out);
   Micros next() const;
   // This sidecar ends: the others need not find out. Nothing is sent after it.
-  void leave(std::vector<Outgoing>& out);
+  void leave(Micros now, std::vector<Outgoing>& out);
+  // So many bytes of facts were put into what it gave out; they count for bytesPerSecond too.
+  void charge(std::size_t bytes, Micros now);
   // There is news that others should not wait a period for: a few are told to ask, as far as kNewsPerSecond
   // allows.
   void announce(Micros now, std::vector<Outgoing>& out);
@@ -110,8 +149,10 @@
   bool twin(Micros now) const { return twinSeen_ && now - *twinSeen_ <= settings_.deafAfter; }
   // Members believed alive, this one among them.
   std::size_t heard() const { return alive_ + 1; }
-  // Against all that are known or should be there, from 0 to 1.
+  // Against all that are known or should be there, from 0 to 1; with a region, of that region.
   double part() const;
+  // Somebody was not taken in since kMaxMembers are known.
+  bool full() const { return full_; }
   bool isHeard(PeerId id) const;
   // Of those heard, whose turn it is at this thing (rendezvous hashing, Thaler and Ravishankar 1998): the
   // same for all who hear the same ones, and handed on when that one is not heard any more.
@@ -142,6 +183,7 @@
     std::uint32_t nonce = 0;
     Micros at = 0, relayAt = 0;
     bool relayed = false, acked = false;
+    bool suspected = false;             // by others, when it began
     std::vector<std::uint32_t> relays;  // nonces of those asked to probe
     std::uint32_t nacks = 0;            // of them that have said that they are there
   };
@@ -157,19 +199,63 @@
     Micros at = 0;
   };
 
+  // A pull of this one's that is not answered whole yet.
+  struct Pulled {
+    std::uint32_t nonce = 0;
+    PeerId from = 0;
+    Micros at = 0;
+    std::uint32_t pages = 0;
+    std::size_t gained = 0;
+  };
+  // Another's pull that waits for bytes to be answered with.
+  struct Pending {
+    std::uint32_t nonce = 0;
+    PeerId who = 0;
+    Address to;
+    Micros until = 0;
+    std::vector<PeerId> missing;  // in the order in which they are told
+    std::size_t told = 0;
+    bool more = false;
+  };
+  struct Differing {
+    PeerId id = 0;
+    std::uint8_t ranges = 0;  // a bit each
+    Micros at = 0;
+  };
+  // What can be left out, and what the protocol can't do without.
+  enum class Need : std::uint8_t { Optional, Required };
+
   Message make(Kind kind, std::uint32_t nonce);
-  void send(const Address& to, Message message, std::vector<Outgoing>& out) const;
-  std::uint32_t ping(const Address& to, PeerId about, Micros now, std::vector<Outgoing>& out);
+  bool send(const Address& to, Message message, Need need, Micros now, std::vector<Outgoing>& out);
+  std::optional<std::uint32_t> ping(const Address& to, PeerId about, Need need, Micros now,
+                                    std::vector<Outgoing>& out);
+  // ---- exchange.cpp ----
+  Table table();
+  Update own() const;
+  bool compares(PeerId id) const;
+  void addEntries(Message& message, PeerId receiver, std::size_t room);
+  bool inRange(PeerId id, const Range& range) const;
+  void compare(const Message& message, Micros now);
+  bool hasExchange() const;
+  bool isJoining(Micros now) const;
+  void exchange(Micros now, std::vector<Outgoing>& out);
+  void gossip(Micros now, std::vector<Outgoing>& out);
+  void pull(Micros now, std::vector<Outgoing>& out);
+  void beginAnswer(const Message& pull, Micros now, std::vector<Outgoing>& out);
+  void answerPulls(Micros now, std::vector<Outgoing>& out);
+  void takePage(const Message& page, Micros now, std::vector<Outgoing>& out);
+  std::size_t takeEntries(const Message& message, Micros now, std::vector<Outgoing>& out);
+  void calmDown();
   void beginProbe(Micros now, std::vector<Outgoing>& out);
   void endProbe(Micros now);
   void lookAround(Micros now, std::vector<Outgoing>& out);
-  void apply(Update update, Micros now);
+  bool apply(Update update, Micros now);  // whether it was news
   void refute(std::uint64_t incarnation);
   void become(Member& member, State state, Micros now);
-  void suspect(Member& member, PeerId witness, Micros now);
-  void piggyback(Message& message, PeerId about);
-  Micros period() const { return settings_.period * (health_ + 1); }
-  Micros timeout() const { return settings_.timeout * (health_ + 1); }
+  bool suspect(Member& member, PeerId witness, Micros now);
+  void piggyback(Message& message, PeerId about, bool hello, Micros now);
+  Micros period() const;
+  Micros timeout() const;
   Micros suspicionFor(std::size_t confirmations) const;
   std::uint32_t tellings() const;
   void worse(int by);
@@ -177,7 +263,7 @@
   void judgePart(Micros now);
   static bool takeToken(double& credit, Micros& at, double perSecond, Micros now);
   std::vector<const Member*> someAlive(std::uint32_t most, PeerId butNot);
-  void answerRelay(Relayed& relayed, Kind kind, std::vector<Outgoing>& out);
+  void answerRelay(Relayed& relayed, Kind kind, Micros now, std::vector<Outgoing>& out);
   void heardAnswer(const Message& message, Micros now, std::vector<Outgoing>& out);
   bool takeSequence(Member& member, const Message& message, Micros now, std::vector<Outgoing>& out);
 
@@ -201,6 +287,18 @@
   double newsCredit_ = kNewsPerSecond, asksCredit_ = kFanOut * kNewsPerSecond;  // token buckets of a second
   Micros newsAt_, asksAt_;
   PeerId lastTold_ = 0;  // whose state went out last without being news
+  ByteBudget budget_, pullBudget_, gossipBudget_;
+  Micros nextExchange_, nextPull_, pullGap_ = kPullGap;
+  Micros startedAt_;            // or when somebody was heard of after nobody was
+  std::uint16_t mostTold_ = 0;  // members that another has said it hears
+  bool news_ = false;           // somebody's tellings may be owed
+  mutable bool tableChanged_ = true;
+  mutable Table table_;
+  std::vector<Pulled> pulled_;
+  std::vector<Pending> pending_;
+  std::vector<Differing> differing_;
+  std::vector<Address> lost_;
+  bool full_ = false;
   std::vector<Change> changes_;
 };
 
--- a/src/peers/message.cpp
+++ b/src/peers/message.cpp
@@ -3,14 +3,27 @@
 
 #include <algorithm>
 
+#include "peers/entries.h"
+#include "peers/filter.h"
+
 namespace ivypost::peers {
 namespace {
 
-enum class Tag : std::uint8_t { Target = 1, Updates = 2, Facts = 3 };
+enum class Tag : std::uint8_t {
+  Target = 1,
+  Updates = 2,
+  Facts = 3,
+  Table = 4,
+  Entries = 5,
+  Filter = 6,
+  Page = 7
+};
 
 // Of each section: its tag and its length.
 constexpr std::size_t kSectionBytes = 2;
 constexpr std::size_t kMaxBody = kMaxDatagram - kSealBytes;
+constexpr std::size_t kTableBytes = 4 * kRanges + 3;
+constexpr std::size_t kRangeBytes = 2;
 
 void put(Writer& to, const Update& update) {
   to.put(update.id);
@@ -50,13 +63,15 @@
   return hash == 0 ? 1 : hash;
 }
 
-std::size_t roomForFacts(std::size_t updates, bool target) {
-  std::size_t used = kHeaderBytes + kSectionBytes;
-  if (updates > 0) used += kSectionBytes + updates * kUpdateBytes;
-  if (target) used += kSectionBytes + kUpdateBytes;
+std::size_t roomForFacts(const Message& message) {
+  const std::size_t used = encode(message).size() + kSectionBytes;
   return used < kMaxBody ? kMaxBody - used : 0;
 }
 
+std::size_t roomForEntries(const Message& message) {
+  return roomForFacts(message);
+}
+
 std::vector<std::uint8_t> encode(const Message& message) {
   std::vector<std::uint8_t> bytes;
   bytes.reserve(kMaxDatagram);
@@ -82,7 +97,34 @@
     section(Tag::Updates, count * kUpdateBytes);
     for (std::size_t n = 0; n < count; ++n) put(to, message.updates[n]);
   }
-  if (!message.facts.empty() && message.facts.size() <= roomForFacts(count, message.target.has_value())) {
+  if (message.table) {
+    section(Tag::Table, kTableBytes);
+    for (const std::uint32_t digest : message.table->digests) to.put(digest);
+    to.put(message.table->heard);
+    to.put(message.table->region);
+  }
+  if (message.kind == Kind::Pull) {
+    section(Tag::Filter, kRangeBytes + message.filter.size());
+    to.put(message.range.index);
+    to.put(message.range.bits);
+    bytes.insert(bytes.end(), message.filter.begin(), message.filter.end());
+  }
+  if (message.kind == Kind::Page) {
+    section(Tag::Page, 1);
+    to.put(message.pageFlags);
+  }
+  const auto room = [&] {
+    const std::size_t used = bytes.size() + kSectionBytes;
+    return used < kMaxBody ? kMaxBody - used : 0;
+  };
+  if (!message.entries.empty()) {
+    std::vector<std::uint8_t> packed;
+    if (packEntries(message.entries, room(), packed) > 0) {
+      section(Tag::Entries, packed.size());
+      bytes.insert(bytes.end(), packed.begin(), packed.end());
+    }
+  }
+  if (!message.facts.empty() && message.facts.size() <= room()) {
     section(Tag::Facts, message.facts.size());
     bytes.insert(bytes.end(), message.facts.begin(), message.facts.end());
   }
@@ -95,7 +137,7 @@
   Message message;
   if (from.get<std::uint8_t>() != kVersion) return std::nullopt;
   const auto kind = from.get<std::uint8_t>();
-  if (kind < static_cast<std::uint8_t>(Kind::Ping) || kind > static_cast<std::uint8_t>(Kind::News))
+  if (kind < static_cast<std::uint8_t>(Kind::Ping) || kind > static_cast<std::uint8_t>(kLastKind))
     return std::nullopt;
   message.kind = static_cast<Kind>(kind);
   message.sender = from.get<PeerId>();
@@ -126,9 +168,36 @@
       case Tag::Facts:
         message.facts.assign(body.begin(), body.end());
         break;
+      case Tag::Table: {
+        Table table;
+        for (std::uint32_t& digest : table.digests) digest = part.get<std::uint32_t>();
+        table.heard = part.get<std::uint16_t>();
+        table.region = part.get<std::uint8_t>();
+        if (!part.good() || table.region > kMaxRegion) return std::nullopt;
+        message.table = table;
+        break;
+      }
+      case Tag::Entries:
+        if (!unpackEntries(body, message.entries)) return std::nullopt;
+        break;
+      case Tag::Filter: {
+        message.range.index = part.get<std::uint8_t>();
+        message.range.bits = part.get<std::uint8_t>();
+        const auto filter = part.take(part.left());
+        if (!part.good() || filter.empty() || filter.size() > Filter::kMaxBytes ||
+            message.range.bits > kMaxRangeBits || message.range.index >> message.range.bits != 0)
+          return std::nullopt;
+        message.filter.assign(filter.begin(), filter.end());
+        break;
+      }
+      case Tag::Page:
+        message.pageFlags = part.get<std::uint8_t>();
+        if (!part.good()) return std::nullopt;
+        break;
     }
   }
   if ((message.kind == Kind::Relay) != message.target.has_value()) return std::nullopt;
+  if ((message.kind == Kind::Pull) == message.filter.empty()) return std::nullopt;
   return message;
 }
 
--- a/src/peers/message.h
+++ b/src/peers/message.h
@@ -10,6 +10,9 @@
 //   then sections: tag, length, that many bytes; a tag that is not known is skipped
 //   last 16    the seal
 //
+// Sidecars from before anti-entropy skip the sections Table and Entries, and take kinds from Rumours on for
+// no messages; so these go only to who has sent a Table.
+//
 // All numbers are big-endian. A version that is not known is an error; a later one keeps the first two bytes.
 #ifndef IVYPOST_PEERS_MESSAGE_H_
 #define IVYPOST_PEERS_MESSAGE_H_
@@ -46,24 +49,49 @@
 // Of the same incarnation the later one wins: what is dead comes back with a higher incarnation only.
 enum class State : std::uint8_t { Alive, Suspect, Dead };
 
+// A region's number is this at the most: an entry has six bits for it.
+constexpr std::uint8_t kMaxRegion = 63;
+
 // What one sidecar believes of another (SWIM, 4.2: piggybacked updates).
 struct Update {
   PeerId id = 0;
   std::uint64_t incarnation = 0;
   Address address;
   State state = State::Alive;
-  PeerId witness = 0;  // of Suspect and Dead: who says so
+  PeerId witness = 0;       // of Suspect and Dead: who says so; of Dead it is its own id for who has left
+  std::uint8_t region = 0;  // Settings::region of it; 0: not known
+  bool compares = false;    // it takes part in anti-entropy
   bool operator==(const Update&) const = default;
 };
-constexpr std::size_t kUpdateBytes = 31;
+constexpr std::size_t kUpdateBytes = 31;  // in the section Updates, without region and compares
+
+// What one's table comes to: ivypost::peers::Digest of each of kRanges ranges of it.
+constexpr std::size_t kRanges = 4;
+struct Table {
+  std::array<std::uint32_t, kRanges> digests{};
+  std::uint16_t heard = 0;  // members that are not dead, the sender among them
+  std::uint8_t region = 0;  // the sender's
+  bool operator==(const Table&) const = default;
+};
+
+// A part of the members: those whose mixed id begins with these bits.
+struct Range {
+  std::uint8_t index = 0, bits = 0;  // index < 2^bits, bits at most kMaxRangeBits
+  bool operator==(const Range&) const = default;
+};
+constexpr std::uint8_t kMaxRangeBits = 8;
 
 enum class Kind : std::uint8_t {
-  Ping = 1,   // answer with Ack
-  Ack = 2,    // of the ping with this nonce
-  Relay = 3,  // ping `target` and pass its ack on
-  Nack = 4,   // the relayed ping has no answer yet (Lifeguard, 3.1): the relay itself is there
-  News = 5,   // there are new facts: ask for them by a ping
+  Ping = 1,     // answer with Ack
+  Ack = 2,      // of the ping with this nonce
+  Relay = 3,    // ping `target` and pass its ack on
+  Nack = 4,     // the relayed ping has no answer yet (Lifeguard, 3.1): the relay itself is there
+  News = 5,     // there are new facts: ask for them by a ping
+  Rumours = 6,  // changes; not answered
+  Pull = 7,     // answer with Pages of what this filter over a range does not hold
+  Page = 8,     // of the answer to the pull with this nonce
 };
+constexpr Kind kLastKind = Kind::Page;
 
 struct Message {
   Kind kind = Kind::Ping;
@@ -75,13 +103,24 @@
   std::optional<Update> target;  // of Relay
   std::vector<Update> updates;
   std::vector<std::uint8_t> facts;  // of acks; what they are is src/shared's
+  std::optional<Table> table;
+  std::vector<Update> entries;       // beside or instead of updates, packed (entries.h); of Page and Rumours
+  Range range;                       // of Pull
+  std::vector<std::uint8_t> filter;  // of Pull; peers::Filter's, salted with the nonce
+  std::uint8_t pageFlags = 0;        // of Page
 };
+constexpr std::uint8_t kLastPage = 1;   // no more pages come for this pull
+constexpr std::uint8_t kMorePages = 2;  // there was more than was sent
 
-// Bytes that are left for facts beside so many updates; 0 if the updates alone don't fit.
-std::size_t roomForFacts(std::size_t updates, bool target);
+// Bytes that are left for facts beside what the message holds; 0 if that alone doesn't fit.
+std::size_t roomForFacts(const Message& message);
+// Bytes that are left for entries, likewise.
+std::size_t roomForEntries(const Message& message);
 constexpr std::size_t kMaxUpdates = 4;
+// An entry has 10 bytes at the least, so no datagram holds more.
+constexpr std::size_t kMaxEntries = 20;
 
-// Without its seal. Precondition: it fits; updates beyond kMaxUpdates and facts beyond the room are left out.
+// Without its seal. Updates beyond kMaxUpdates, and entries and facts beyond the room are left out.
 std::vector<std::uint8_t> encode(const Message& message);
 
 // None: it is no message of this version. Every length is checked; sections of unknown tags are skipped.
--- a/src/peers/peers_io.cpp
+++ b/src/peers/peers_io.cpp
@@ -135,9 +135,10 @@
 
 void PeersIo::send(std::vector<Outgoing>& out) {
   for (Outgoing& one : out) {
-    if (one.message.kind == Kind::Ack)
-      one.message.facts =
-          callbacks_.tell(roomForFacts(one.message.updates.size(), one.message.target.has_value()));
+    if (one.message.kind == Kind::Ack) {
+      one.message.facts = callbacks_.tell(roomForFacts(one.message));
+      members_.charge(one.message.facts.size(), now());
+    }
     auto bytes = encode(one.message);
     seal_.close(bytes);
     boost::system::error_code error;
@@ -160,7 +161,7 @@
 
 void PeersIo::leave() {
   std::vector<Outgoing> out;
-  members_.leave(out);
+  members_.leave(now(), out);
   send(out);
   timer_.cancel();
   openTimer_.cancel();
--- a/tests/peers/members_test.cpp
+++ b/tests/peers/members_test.cpp
@@ -179,7 +179,7 @@
   ASSERT_TRUE(net.until([&] { return allHear(net, 12); }, 10 * kSecond));
   for (std::size_t n = 4; n < 12; ++n) {
     std::vector<Outgoing> out;
-    net.at(n).leave(out);
+    net.at(n).leave(net.now, out);
     for (const Outgoing& one : out) net.inject(one.to.ip - SimulatedNetwork::addressOf(0).ip, one.message);
     net.kill(n);
   }
@@ -226,22 +226,32 @@
 
 // One with the key that dies and comes back with ever new incarnations, between two periods.
 TEST(Members, WhoComesAndGoesFillsNoQueue) {
-  Settings settings;
-  settings.self = 1;
-  Members members(settings, 1, 0);
-  std::vector<Outgoing> out;
-  Message message;
-  message.kind = Kind::News;
-  message.sender = 2;
-  for (std::uint64_t n = 1; n <= 2 * kMaxMembers; ++n) {
-    message.sequence = n;
-    message.updates = {{3, n, {}, State::Alive, 0}, {3, n, {}, State::Dead, 2}};
-    members.receive(message, 0, out);
-    members.takeChanges();
+  for (const bool antiEntropy : {false, true}) {
+    Settings settings;
+    settings.self = 1;
+    settings.antiEntropy = antiEntropy;
+    Members members(settings, 1, 0);
+    std::vector<Outgoing> out;
+    Message message;
+    message.kind = Kind::News;
+    message.sender = 2;
+    for (std::uint64_t n = 1; n <= 2 * kMaxMembers; ++n) {
+      message.sequence = n;
+      message.updates = {{3, n, {}, State::Alive, 0}, {3, n, {}, State::Dead, 2}};
+      members.receive(message, 0, out);
+      members.takeChanges();
+    }
+    EXPECT_EQ(members.order(), kMaxMembers);
+    // And news ask for no more than their bucket holds, nor for more than the bytes of a moment.
+    std::size_t bytes = 0;
+    for (const Outgoing& one : out) bytes += encode(one.message).size() + kSealBytes + kDatagramOverhead;
+    if (antiEntropy) {
+      EXPECT_GT(out.size(), 0u);
+      EXPECT_LE(static_cast<double>(bytes), (kDepthPart + kDebtPart) * settings.bytesPerSecond);
+    } else {
+      EXPECT_EQ(out.size(), static_cast<std::size_t>(kFanOut * kNewsPerSecond));
+    }
   }
-  EXPECT_EQ(members.order(), kMaxMembers);
-  // And news ask for no more than their bucket holds.
-  EXPECT_EQ(out.size(), static_cast<std::size_t>(kFanOut * kNewsPerSecond));
 }
 
 TEST(Members, AReplayIsDroppedAndWhatAnswersNothingIsNotHeard) {
--- a/tests/peers/message_test.cpp
+++ b/tests/peers/message_test.cpp
@@ -32,7 +32,7 @@
   for (const Kind kind : {Kind::Ping, Kind::Ack, Kind::Relay, Kind::Nack}) {
     for (std::size_t updates = 0; updates <= kMaxUpdates; ++updates) {
       for (const std::size_t facts :
-           {std::size_t{0}, std::size_t{1}, roomForFacts(updates, kind == Kind::Relay)}) {
+           {std::size_t{0}, std::size_t{1}, roomForFacts(someMessage(kind, updates, 0))}) {
         const Message message = someMessage(kind, updates, facts);
         const auto bytes = encode(message);
         EXPECT_LE(bytes.size() + kSealBytes, kMaxDatagram);
