Peers: rumours go to who has spoken lately, and a page's death to who suspects it is a death

Cause: in a cut half of the rumours went to the side that is out of reach, and each further witness of a suspicion was told as often as the suspicion itself. Change: all but one of a turn's rumours go to members that spoke within 1.5 s; a further witness is told a quarter as often; a death that a page tells is taken where the member has been a suspect for over a second.

--- a/src/peers/exchange.cpp
+++ b/src/peers/exchange.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t kMassNews = 64;
 // A pull that brought so many has found somebody worth asking again at once.
 constexpr std::size_t kWorthwhile = 4;
+// From a suspicion to its refutation, by the simulated fleets of up to 1,320.
+constexpr Micros kRefutation = 1'000'000;
 // Of those who spoke of an earlier life: told so at the most in one datagram.
 constexpr std::size_t kCorrections = 8;
 
@@ -122,7 +124,10 @@
 
 void Members::gossip(Micros now, std::vector<Outgoing>& out) {
   if (!news_) return;
-  for (const Member* one : someAlive(kGossipFanOut, settings_.self)) {
+  auto to = someAlive(kGossipFanOut - 1, settings_.self, now - kSpokeWithin);
+  const PeerId first = to.empty() ? settings_.self : to.front()->update.id;
+  for (const Member* one : someAlive(1, first)) to.push_back(one);
+  for (const Member* one : to) {
     if (!one->update.compares || budget_.credit(now) <= 0 || gossipBudget_.credit(now) < kMaxDatagram)
       continue;
     Message message = make(Kind::Rumours, ++lastNonce_);
@@ -303,8 +308,12 @@
   std::optional<Update> doubtful;
   for (Update entry : message.entries) {
     // A rumour of a death is as old as its way; what a page tells may be from before a cut that has healed.
-    // So it is one more witness, and the suspect is probed (as hashicorp/memberlist merges a remote state).
-    if (message.kind == Kind::Page && entry.state == State::Dead && entry.witness != entry.id) {
+    // So it is one more witness, and the suspect is probed (as hashicorp/memberlist merges a remote state);
+    // unless it has been a suspect here for longer than a refutation takes.
+    const auto known = members_.find(entry.id);
+    const bool unrefuted = known != members_.end() && known->second.update.state == State::Suspect &&
+                           now - known->second.since >= kRefutation;
+    if (message.kind == Kind::Page && entry.state == State::Dead && entry.witness != entry.id && !unrefuted) {
       entry.state = State::Suspect;
       entry.witness = message.sender;
     }
@@ -314,12 +323,12 @@
     }
     const auto found = members_.find(entry.id);
     if (found == members_.end() || entry.id == message.sender) continue;
-    const Update& known = found->second.update;
-    if (known.incarnation > entry.incarnation && corrections.size() < kCorrections)
-      corrections.push_back(known);
-    const bool denied = known.incarnation == entry.incarnation && known.state == State::Dead &&
+    const Update& held = found->second.update;
+    if (held.incarnation > entry.incarnation && corrections.size() < kCorrections)
+      corrections.push_back(held);
+    const bool denied = held.incarnation == entry.incarnation && held.state == State::Dead &&
                         entry.state == State::Alive && !found->second.left();
-    if (denied && message.kind == Kind::Page && (!doubtful || uniform() < 0.5)) doubtful = known;
+    if (denied && message.kind == Kind::Page && (!doubtful || uniform() < 0.5)) doubtful = held;
   }
   // It can speak for itself: the ping tells it what to refute.
   if (doubtful) ping(doubtful->address, doubtful->id, Need::Optional, now, out);
--- a/src/peers/members.cpp
+++ b/src/peers/members.cpp
@@ -127,10 +127,11 @@
   if (settings_.antiEntropy) budget_.charge(bytes, now);
 }
 
-std::vector<const Members::Member*> Members::someAlive(std::uint32_t most, PeerId butNot) {
+std::vector<const Members::Member*> Members::someAlive(std::uint32_t most, PeerId butNot, Micros heardSince) {
   std::vector<const Member*> alive, some;
   for (const auto& [id, member] : members_)
-    if (member.update.state == State::Alive && id != butNot) alive.push_back(&member);
+    if (member.update.state == State::Alive && id != butNot && member.heardAt >= heardSince)
+      alive.push_back(&member);
   while (some.size() < most && !alive.empty()) {
     const auto at = static_cast<std::size_t>(uniform() * static_cast<double>(alive.size()));
     some.push_back(alive[at]);
@@ -208,6 +209,7 @@
   const auto found = members_.find(message.sender);
   if (found == members_.end()) return false;  // the table is full
   if (!takeSequence(found->second, message, now, out)) return false;
+  found->second.heardAt = now;
   for (const Update& update : message.updates) apply(update, now);
   if (settings_.antiEntropy) {
     // Those of a page count only where it answers a pull.
@@ -527,7 +529,8 @@
   if (told.size() > kConfirm || std::find(told.begin(), told.end(), witness) != told.end()) return false;
   member.witnesses.push_back(witness);
   member.update.witness = witness;
-  member.tellings = tellings();
+  // The suspicion is known already; a further witness needs to reach a few, who then know of the death.
+  member.tellings = settings_.antiEntropy ? std::max(member.tellings, tellings() / 4) : tellings();
   news_ = true;
   member.deadline = std::min(member.deadline, member.since + suspicionFor(member.witnesses.size() - 1));
   return true;
--- a/src/peers/members.h
+++ b/src/peers/members.h
@@ -82,6 +82,8 @@
 // While there is something to tell or to fetch: between two turns of it.
 constexpr Micros kGossipEvery = 100'000;
 constexpr std::uint32_t kGossipFanOut = 2;
+// All but one of them go to who has spoken within this time: in a cut the others' half would be lost.
+constexpr Micros kSpokeWithin = 1'500'000;
 // Pages that answer one pull, pulls that wait to be answered, and for how long, and pulls that are out.
 constexpr std::uint32_t kPagesPerPull = 4;
 constexpr std::size_t kMaxPending = 8, kMaxPulls = 3;
@@ -174,6 +176,7 @@
     std::uint32_t tellings = 0;     // of its state that are still owed to others
     ReplayWindow window;
     std::uint64_t windowOf = 0;  // the incarnation that the window is of
+    Micros heardAt = 0;          // a message of its own came last
     Micros correctedAt = 0;      // told last that it speaks with an incarnation of an earlier life
     bool left() const { return update.state == State::Dead && update.witness == update.id; }
   };
@@ -262,7 +265,7 @@
   double uniform() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
   void judgePart(Micros now);
   static bool takeToken(double& credit, Micros& at, double perSecond, Micros now);
-  std::vector<const Member*> someAlive(std::uint32_t most, PeerId butNot);
+  std::vector<const Member*> someAlive(std::uint32_t most, PeerId butNot, Micros heardSince = 0);
   void answerRelay(Relayed& relayed, Kind kind, Micros now, std::vector<Outgoing>& out);
   void heardAnswer(const Message& message, Micros now, std::vector<Outgoing>& out);
   bool takeSequence(Member& member, const Message& message, Micros now, std::vector<Outgoing>& out);
