ivyfleet: no two sidecars are given the same port to hear each other at

Cause: each port was asked for and closed again before the next one was, so two could get the same number; in a play of 12 the eighth could not listen for 34 s and the fourth got its datagrams as well. Change: the sockets that hold the ports stay open until all have theirs. A failed play of regions says what was said of being deaf.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -112,6 +112,7 @@
 // ---- Before -----------------------------------------------------------------------------------------------
 
 void Fleet::build() {
+  std::vector<asio::ip::udp::socket> held;
   for (std::uint32_t n = 0; n < scenario_.sidecars; ++n) {
     auto sidecar = std::make_unique<Sidecar>();
     sidecar->number = n;
@@ -125,9 +126,9 @@
     sidecar->keeper->bind(tcp::endpoint(asio::ip::address_v4::loopback(), 0));
     sidecar->port = sidecar->keeper->local_endpoint().port();
     if (scenario_.peers) {
-      // Closed again, since the sidecar binds it: nobody else asks the system for one of this number
-      // meanwhile.
-      asio::ip::udp::socket free(io_, asio::ip::udp::endpoint(asio::ip::address_v4::loopback(), 0));
+      // Held until all have theirs, and closed then, since the sidecar binds it: or two would now and then
+      // have the same.
+      auto& free = held.emplace_back(io_, asio::ip::udp::endpoint(asio::ip::address_v4::loopback(), 0));
       const auto own = free.local_endpoint();
       sidecar->peerListen = "127.0.0.1:" + std::to_string(own.port());
       sidecar->peerAddress = "127.0.0.1:" + std::to_string(datagrams_.add(own).port());
--- a/tests/peers/regions_test.cpp
+++ b/tests/peers/regions_test.cpp
@@ -64,7 +64,8 @@
   std::size_t ejected = 0;
   for (std::uint32_t n = 1; n <= 18; ++n) {
     const bool six = n % 3 == 2;
-    EXPECT_EQ(cut.count(n, "peers: deaf"), 0u) << n << (six ? ", it hears its whole region" : "");
+    EXPECT_EQ(cut.count(n, "peers: deaf"), 0u)
+        << n << (six ? ", it hears its whole region" : "") << cut.said(n, "deaf");
     if (six) {
       ejected += cut.count(n, "upstream ejected");
     } else {
