Peers: one more is asked where few answers come, and the hard cases of anti-entropy have their tests

Change: with no answer for a quarter of deaf_after one more is asked each period, drawn from the own region where that is told.

--- a/src/peers/members.cpp
+++ b/src/peers/members.cpp
@@ -104,6 +104,7 @@
       at = over ? members_.erase(at) : std::next(at);
     }
     if (!isJoining(now)) beginProbe(now, out);
+    if (settings_.antiEntropy) askNear(now, out);
     const bool due = ++periods_ % kLookAround == 0 && !isJoining(now);
     if (due || alive_ == 0) lookAround(now, out);
     nextPeriod_ = now + period();
@@ -368,6 +369,20 @@
   }
 }
 
+// While most of those probed are out of reach, one more is asked each period, of the own region if that is
+// told: a small region that is cut off would be deaf for want of having asked the right ones. It is drawn as
+// any, so who hears few stays deaf.
+void Members::askNear(Micros now, std::vector<Outgoing>& out) {
+  if (lastHeard_ && now - *lastHeard_ < settings_.deafAfter / 4) return;
+  std::vector<const Member*> near;
+  for (const auto& [id, member] : members_)
+    if (member.update.state != State::Dead && member.update.region == settings_.region)
+      near.push_back(&member);
+  if (near.empty()) return;
+  const Update& one = near[static_cast<std::size_t>(uniform() * static_cast<double>(near.size()))]->update;
+  ping(one.address, one.id, Need::Required, now, out);
+}
+
 void Members::endProbe(Micros now) {
   if (!probe_) return;
   const Probe probe = std::move(*probe_);
--- a/src/peers/members.h
+++ b/src/peers/members.h
@@ -251,6 +251,7 @@
   void calmDown();
   void beginProbe(Micros now, std::vector<Outgoing>& out);
   void endProbe(Micros now);
+  void askNear(Micros now, std::vector<Outgoing>& out);
   void lookAround(Micros now, std::vector<Outgoing>& out);
   bool apply(Update update, Micros now);  // whether it was news
   void refute(std::uint64_t incarnation);
--- a/src/peers/peers_io.cpp
+++ b/src/peers/peers_io.cpp
@@ -107,6 +107,7 @@
   std::vector<Outgoing> out;
   if (!members_.receive(*message, at, out)) {
     if (message->sender != members_.settings().self) ++counts_.replayed;
+    if (members_.full()) complain("more sidecars than are remembered (4096); those beyond are not heard");
   } else if (late && !message->facts.empty()) {
     const auto news = callbacks_.told(message->facts, *late);
     if (news && *news) members_.announce(at, out);
--- /dev/null
+++ b/tests/peers/exchange_test.cpp
@@ -0,0 +1,450 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// Anti-entropy: its parts alone, one membership against messages that are cut, replayed, flooded, of an
+// earlier life or not asked for, and many on the simulated network.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "peers/byte_budget.h"
+#include "peers/entries.h"
+#include "peers/filter.h"
+#include "peers/members.h"
+#include "scale/simulated_network.h"
+
+namespace ivypost::peers {
+namespace {
+
+// ---- Entries, filter, budget ------------------------------------------------------------------------------
+
+rc::Gen<Update> anEntry() {
+  return rc::gen::map(
+      rc::gen::tuple(rc::gen::nonZero<PeerId>(), rc::gen::arbitrary<std::uint64_t>(),
+                     rc::gen::arbitrary<std::uint32_t>(), rc::gen::arbitrary<std::uint16_t>(),
+                     rc::gen::inRange(0, 4), rc::gen::inRange(0, kMaxRegion + 1), rc::gen::arbitrary<bool>()),
+      [](const auto& parts) {
+        const auto& [id, incarnation, ip, port, state, region, compares] = parts;
+        Update one{id, incarnation, {}, static_cast<State>(std::min(state, 2)), 0};
+        one.region = static_cast<std::uint8_t>(region);
+        if (state == 0) {
+          one.address = {ip, port};
+          one.compares = compares;
+        }
+        if (state == 1) one.witness = id ^ 1;
+        if (state == 3) one.witness = id;  // it has left
+        return one;
+      });
+}
+
+RC_GTEST_PROP(Entries, ComeBackAsTheyWere, ()) {
+  const auto entries = *rc::gen::resize(30, rc::gen::container<std::vector<Update>>(anEntry()));
+  const auto room = *rc::gen::inRange<std::size_t>(0, 240);
+  std::vector<std::uint8_t> packed;
+  const std::size_t count = packEntries(entries, room, packed);
+  RC_ASSERT(count <= kMaxEntries);
+  RC_ASSERT(packed.size() <= room);
+  std::vector<Update> back;
+  RC_ASSERT(unpackEntries(packed, back));
+  std::vector<Update> sent(entries.begin(), entries.begin() + static_cast<std::ptrdiff_t>(count));
+  const auto order = [](const Update& a, const Update& b) {
+    return std::tuple(a.id, a.incarnation, a.state, a.address, a.witness, a.region, a.compares) <
+           std::tuple(b.id, b.incarnation, b.state, b.address, b.witness, b.region, b.compares);
+  };
+  std::sort(sent.begin(), sent.end(), order);
+  std::sort(back.begin(), back.end(), order);
+  RC_ASSERT(sent == back);
+}
+
+// As a datagram that was cut would leave them: refused, or fewer of the same.
+TEST(Entries, CutAnywhereAreRefusedOrFewer) {
+  std::vector<Update> entries;
+  for (std::uint64_t n = 1; n <= 9; ++n)
+    entries.push_back({n, 1'790'000'000'000 + 977 * n, {0x0a000001, 7946}, static_cast<State>(n % 3), 5});
+  std::vector<std::uint8_t> packed;
+  ASSERT_EQ(packEntries(entries, 240, packed), 9u);
+  for (std::size_t length = 0; length < packed.size(); ++length) {
+    std::vector<Update> back;
+    if (unpackEntries(std::span(packed).first(length), back)) {
+      EXPECT_LT(back.size(), 9u) << length;
+    }
+  }
+}
+
+TEST(Entries, AreRefusedWhereTheyAreNone) {
+  const struct {
+    const char* what;
+    std::vector<std::uint8_t> packed;
+  } rows[] = {
+      {"nobody's id", {0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0}},
+      {"an incarnation without end",
+       {2, 0, 0, 0, 0, 0, 0, 0, 1, 128, 128, 128, 128, 128, 128, 128, 128, 128, 128, 128, 0}},
+      {"an incarnation of 70 bits",
+       {2, 0, 0, 0, 0, 0, 0, 0, 1, 255, 255, 255, 255, 255, 255, 255, 255, 255, 2}},
+      {"an address below 0", {0, 0, 0, 0, 0, 0, 0, 0, 1, 0, 2}},
+      {"a witness that is cut", {1, 0, 0, 0, 0, 0, 0, 0, 1, 0, 1, 2, 3}},
+  };
+  for (const auto& row : rows) {
+    std::vector<Update> back;
+    EXPECT_FALSE(unpackEntries(row.packed, back)) << row.what;
+  }
+  // More than a datagram can hold.
+  std::vector<std::uint8_t> many;
+  for (std::size_t n = 0; n <= kMaxEntries; ++n) many.insert(many.end(), {2, 0, 0, 0, 0, 0, 0, 0, 1, 0});
+  std::vector<Update> back;
+  EXPECT_FALSE(unpackEntries(many, back));
+}
+
+TEST(Filters, HoldWhatWasAddedAndLittleElse) {
+  for (const std::size_t keys : {1, 20, 84, 268}) {
+    Filter filter(keys, 99);
+    for (std::uint64_t n = 1; n <= keys; ++n) filter.add(mix(n));
+    int mistakes = 0, again = 0;
+    Filter other(keys, 100);
+    for (std::uint64_t n = 1; n <= keys; ++n) other.add(mix(n));
+    for (std::uint64_t n = 1; n <= keys; ++n) ASSERT_TRUE(filter.holds(mix(n)));
+    for (std::uint64_t n = 1001; n <= 11'000; ++n) {
+      mistakes += filter.holds(mix(n)) ? 1 : 0;
+      again += filter.holds(mix(n)) && other.holds(mix(n)) ? 1 : 0;
+    }
+    EXPECT_LE(mistakes, 1300) << keys;  // one in 11 at the fullest, and chance
+    EXPECT_LE(again, mistakes / 3 + 5) << keys << ": another salt makes other mistakes";
+    EXPECT_LE(filter.bytes().size(), Filter::kMaxBytes);
+  }
+}
+
+RC_GTEST_PROP(Budgets, GiveOutNoMoreInAnySecond, ()) {
+  ByteBudget budget(5100, 600, 300, 0);
+  std::deque<std::pair<Micros, std::size_t>> taken;
+  Micros now = 0;
+  std::size_t sum = 0;
+  for (int n = 0; n < 400; ++n) {
+    now += *rc::gen::inRange<Micros>(0, 20'000);
+    const auto bytes = *rc::gen::inRange<std::size_t>(1, 400);
+    if (!(n % 3 == 0 ? budget.demand(bytes, now) : budget.take(bytes, now))) continue;
+    taken.emplace_back(now, bytes);
+    sum += bytes;
+    for (; now - taken.front().first > kSecond; taken.pop_front()) sum -= taken.front().second;
+    RC_ASSERT(sum <= 6000u);
+  }
+}
+
+// ---- One membership against all that may come
+// --------------------------------------------------------------
+
+struct One {
+  Settings settings;
+  Members members;
+  std::vector<Outgoing> out;
+  std::uint64_t sequence = 0;
+
+  explicit One(std::uint32_t bytesPerSecond = 1'000'000)
+      : settings(made(bytesPerSecond)), members(settings, 7, 1000 * kSecond) {}
+  static Settings made(std::uint32_t bytesPerSecond) {
+    Settings settings;
+    settings.self = 1;
+    settings.address = {0x0a000001, 7946};
+    settings.bytesPerSecond = bytesPerSecond;
+    return settings;
+  }
+  Message from(PeerId sender, Kind kind, std::vector<Update> entries = {}) {
+    Message message;
+    message.kind = kind;
+    message.sender = sender;
+    message.incarnation = 10;
+    message.address = {0x0a000000 + static_cast<std::uint32_t>(sender), 7946};
+    message.sequence = ++sequence;
+    message.entries = std::move(entries);
+    return message;
+  }
+  // A ping with a table that differs from this one's in every range, and the pull that follows.
+  std::optional<Message> pullAfterPingOf(PeerId sender, Micros now) {
+    Message ping = from(sender, Kind::Ping);
+    ping.table = Table{{1, 2, 3, 4}, 500, 0};
+    members.receive(ping, now, out);
+    out.clear();
+    members.tick(now + kGossipEvery, out);
+    for (const Outgoing& one : out)
+      if (one.message.kind == Kind::Pull) return one.message;
+    return std::nullopt;
+  }
+  std::optional<Update> of(PeerId id) const {
+    for (const Update& one : members.all())
+      if (one.id == id) return one;
+    return std::nullopt;
+  }
+};
+
+Update alive(PeerId id, std::uint64_t incarnation) {
+  Update one{id, incarnation, {0x0a000000 + static_cast<std::uint32_t>(id), 7946}, State::Alive, 0};
+  one.compares = true;
+  return one;
+}
+
+constexpr Micros kStart = 1000 * kSecond;
+
+TEST(Exchange, APageCountsOnceAndOnlyWhereItWasAskedFor) {
+  One one;
+  Message page = one.from(2, Kind::Page, {alive(3, 5)});
+  page.nonce = 12345;
+  one.members.receive(page, kStart, one.out);
+  EXPECT_FALSE(one.of(3)) << "nobody asked";
+  const auto pull = one.pullAfterPingOf(2, kStart + kSecond);
+  ASSERT_TRUE(pull);
+  Message stranger = one.from(9, Kind::Page, {alive(3, 5)});
+  stranger.nonce = pull->nonce;
+  one.members.receive(stranger, kStart + kSecond, one.out);
+  EXPECT_FALSE(one.of(3)) << "another was asked";
+  Message answer = one.from(2, Kind::Page, {alive(3, 5)});
+  answer.nonce = pull->nonce;
+  answer.pageFlags = kLastPage;
+  EXPECT_TRUE(one.members.receive(answer, kStart + kSecond + kGossipEvery, one.out));
+  EXPECT_TRUE(one.of(3));
+  EXPECT_FALSE(one.members.receive(answer, kStart + kSecond + kGossipEvery, one.out)) << "a replay";
+  Message second = one.from(2, Kind::Page, {alive(4, 5)});
+  second.nonce = pull->nonce;
+  one.members.receive(second, kStart + kSecond + kGossipEvery, one.out);
+  EXPECT_FALSE(one.of(4)) << "behind the last page";
+}
+
+TEST(Exchange, PagesBeyondThoseOfAPullAreNotTaken) {
+  One one;
+  const auto pull = one.pullAfterPingOf(2, kStart + kSecond);
+  ASSERT_TRUE(pull);
+  for (PeerId id = 100; id < 130; ++id) {
+    Message page = one.from(2, Kind::Page, {alive(id, 5)});
+    page.nonce = pull->nonce;
+    one.members.receive(page, kStart + kSecond + kGossipEvery, one.out);
+  }
+  EXPECT_EQ(one.members.known(), 1 + 2 * kPagesPerPull);
+}
+
+// An earlier life changes nothing, and who tells of it is told of the later one.
+TEST(Exchange, AnEarlierLifeIsNotTakenAndIsCorrected) {
+  One one;
+  one.members.receive(one.from(2, Kind::Rumours, {alive(3, 7)}), kStart, one.out);
+  one.out.clear();
+  Update old = alive(3, 6);
+  old.address = {0x0a0000ff, 1};
+  one.members.receive(one.from(2, Kind::Rumours, {old, {3, 6, {}, State::Dead, 0}}), kStart, one.out);
+  ASSERT_TRUE(one.of(3));
+  EXPECT_EQ(one.of(3)->incarnation, 7u);
+  EXPECT_EQ(one.of(3)->state, State::Alive);
+  EXPECT_EQ(one.of(3)->address, alive(3, 7).address);
+  ASSERT_EQ(one.out.size(), 1u);
+  EXPECT_EQ(one.out[0].message.kind, Kind::Rumours);
+  EXPECT_EQ(one.out[0].message.entries.at(0).incarnation, 7u);
+}
+
+// Of a member that is gone and forgotten, or never was.
+TEST(Exchange, TheDeathOfWhoIsNotKnownMakesNobodyKnown) {
+  One one;
+  one.members.receive(
+      one.from(2, Kind::Rumours,
+               {{3, 7, {}, State::Dead, 0}, {4, 7, {}, State::Suspect, 9}, {5, 7, {}, State::Dead, 5}}),
+      kStart, one.out);
+  EXPECT_EQ(one.members.known(), 1u);
+}
+
+// A death ends with the refutation of a later life, whichever way the death comes again.
+TEST(Exchange, ADeathDoesNotOutliveItsRefutation) {
+  One one;
+  const Update death{3, 7, {}, State::Dead, 0};
+  one.members.receive(one.from(2, Kind::Rumours, {alive(3, 7)}), kStart, one.out);
+  one.members.receive(one.from(2, Kind::Rumours, {death}), kStart, one.out);
+  EXPECT_FALSE(one.members.isHeard(3));
+  one.members.receive(one.from(4, Kind::Rumours, {alive(3, 8)}), kStart, one.out);
+  EXPECT_TRUE(one.members.isHeard(3));
+  one.members.receive(one.from(5, Kind::Rumours, {death}), kStart, one.out);
+  EXPECT_TRUE(one.members.isHeard(3));
+}
+
+// What a page tells may be from before a cut that has healed: who is well is suspected by it, and not buried.
+TEST(Exchange, APagesDeathIsAWitnessAndNoVerdict) {
+  One one;
+  one.members.receive(one.from(2, Kind::Rumours, {alive(3, 7)}), kStart, one.out);
+  const auto pull = one.pullAfterPingOf(2, kStart + kMaxJoining + kSecond);
+  ASSERT_TRUE(pull);
+  Message page = one.from(2, Kind::Page, {{3, 7, {}, State::Dead, 0}});
+  page.nonce = pull->nonce;
+  one.members.receive(page, kStart + kMaxJoining + kSecond + kGossipEvery, one.out);
+  EXPECT_EQ(one.of(3)->state, State::Suspect);
+  EXPECT_TRUE(one.members.isHeard(3));
+}
+
+TEST(Exchange, APullIsAnsweredWithAllThatItsFilterLacksAndNothingElse) {
+  One one;
+  std::set<PeerId> known = {1, 2};
+  std::vector<Update> entries;
+  for (PeerId id = 10; id < 50; ++id) {
+    known.insert(id);
+    one.members.receive(one.from(2, Kind::Rumours, {alive(id, 5)}), kStart, one.out);
+  }
+  Message pull = one.from(2, Kind::Pull);
+  Filter filter(20, pull.nonce);
+  for (PeerId id = 10; id < 30; ++id) filter.add(mix(id ^ mix(5)));
+  pull.filter = filter.bytes();
+  one.out.clear();
+  one.members.receive(pull, kStart, one.out);
+  std::set<PeerId> told;
+  for (const Outgoing& page : one.out) {
+    if (page.message.kind != Kind::Page) continue;
+    for (const Update& entry : page.message.entries)
+      EXPECT_TRUE(told.insert(entry.id).second) << "twice " << entry.id;
+  }
+  for (PeerId id = 30; id < 50; ++id) EXPECT_EQ(told.count(id), 1u) << id;
+  EXPECT_EQ(told.count(1), 1u) << "of itself too";
+  EXPECT_EQ(told.size(), 21u);
+}
+
+// Pulls as fast as they come: no more is queued than its bound, and no more is sent than the bytes allow.
+TEST(Exchange, AFloodOfPullsIsAnsweredWithinTheBytes) {
+  One one(6000);
+  for (PeerId id = 10; id < 200; ++id)
+    one.members.receive(one.from(2, Kind::Rumours, {alive(id, 5)}), kStart, one.out);
+  one.out.clear();
+  std::size_t bytes = 0;
+  for (Micros at = kStart; at < kStart + kSecond; at += 1000) {
+    Message pull = one.from(10 + static_cast<PeerId>(at / 1000 % 100), Kind::Pull);
+    pull.filter = Filter(1, 0).bytes();
+    one.members.receive(pull, at, one.out);
+    one.members.tick(at, one.out);
+    for (const Outgoing& sent : std::exchange(one.out, {}))
+      bytes += encode(sent.message).size() + kSealBytes + kDatagramOverhead;
+  }
+  EXPECT_LE(bytes, 6000u);
+  EXPECT_GT(bytes, 4000u);
+}
+
+TEST(Exchange, BeyondTheTablesBoundOneIsNotTakenIn) {
+  One one;
+  std::vector<Update> entries;
+  for (PeerId id = 10; id < 10 + kMaxMembers + 50; ++id) {
+    entries.push_back(alive(id, 5));
+    if (entries.size() < 10) continue;
+    one.members.receive(one.from(2, Kind::Rumours, std::exchange(entries, {})), kStart, one.out);
+  }
+  EXPECT_EQ(one.members.known(), kMaxMembers);
+  EXPECT_TRUE(one.members.full());
+  EXPECT_TRUE(one.members.isHeard(10)) << "those who are known stay so";
+}
+
+// ---- The merge
+// ---------------------------------------------------------------------------------------------
+
+// Whatever the order and however often: of each member the same is believed.
+RC_GTEST_PROP(Exchange, MergesTheSameInAnyOrder, ()) {
+  constexpr PeerId kFirst = 10, kLast = 14;
+  const auto told = *rc::gen::container<std::vector<Update>>(
+      rc::gen::map(rc::gen::tuple(rc::gen::inRange<PeerId>(kFirst, kLast),
+                                  rc::gen::inRange<std::uint64_t>(1, 5), rc::gen::inRange(0, 3)),
+                   [](const auto& parts) {
+                     const auto& [id, incarnation, state] = parts;
+                     Update one = alive(id, incarnation);
+                     one.state = static_cast<State>(state);
+                     if (one.state == State::Suspect) one.witness = 99;
+                     return one;
+                   }));
+  auto other = told;
+  other.insert(other.end(), told.begin(), told.end());
+  std::shuffle(other.begin(), other.end(), std::mt19937(*rc::gen::arbitrary<std::uint32_t>()));
+  const auto believed = [&](const std::vector<Update>& updates) {
+    One one;
+    for (PeerId id = kFirst; id < kLast; ++id)
+      one.members.receive(one.from(2, Kind::Rumours, {alive(id, 0)}), kStart, one.out);
+    for (const Update& update : updates)
+      one.members.receive(one.from(2, Kind::Rumours, {update}), kStart, one.out);
+    std::vector<std::pair<std::uint64_t, State>> table;
+    for (PeerId id = kFirst; id < kLast; ++id) table.emplace_back(one.of(id)->incarnation, one.of(id)->state);
+    return table;
+  };
+  RC_ASSERT(believed(told) == believed(other));
+}
+
+// ---- Many
+// --------------------------------------------------------------------------------------------------
+
+bool allHear(SimulatedNetwork& net, std::size_t count) {
+  return net.all([&](Members& one) { return one.heard() == count && !one.deaf(net.now); });
+}
+
+// Stopped while all fetch from all, for longer than the others take to bury them.
+TEST(Exchange, TheStoppedInTheMiddleOfItKnowAllAfterwards) {
+  SimulatedNetwork net(21);
+  for (std::size_t n = 0; n < 60; ++n) net.start(n, 60);
+  net.run(kSecond);
+  for (std::size_t n = 10; n < 14; ++n) net.pause(n);
+  net.run(30 * kSecond);
+  net.all([](Members& one) { return one.takeChanges(), true; });
+  for (std::size_t n = 10; n < 14; ++n) net.resume(n);
+  for (std::size_t n = 10; n < 14; ++n) EXPECT_TRUE(net.at(n).deaf(net.now));
+  EXPECT_TRUE(net.until([&] { return allHear(net, 60); }, 8 * kSecond));
+  std::set<PeerId> stopped;
+  for (std::size_t n = 10; n < 14; ++n) stopped.insert(SimulatedNetwork::idAt(n));
+  net.all([&](Members& one) {
+    for (const Change& change : one.takeChanges())
+      EXPECT_TRUE(change.state != State::Dead || stopped.count(change.id) > 0);
+    return true;
+  });
+}
+
+// Old and new in one fleet: the old are spoken to as before, and all hear all.
+TEST(Exchange, AMixedFleetHearsAllAndFindsADeath) {
+  SimulatedNetwork net(23);
+  for (std::size_t n = 0; n < 24; ++n)
+    net.start(n, 24, [&](Settings& settings) { settings.antiEntropy = n % 2 == 0; });
+  ASSERT_TRUE(net.until([&] { return allHear(net, 24); }, 20 * kSecond));
+  net.kill(4);
+  net.kill(5);
+  EXPECT_TRUE(net.until([&] { return allHear(net, 22); }, 20 * kSecond));
+  net.start(4, 24, [&](Settings& settings) { settings.antiEntropy = false; });  // as after a step back
+  net.start(5, 24);
+  EXPECT_TRUE(net.until([&] { return allHear(net, 24); }, 20 * kSecond));
+}
+
+// Three of twelve in a region of their own are cut off: nobody is deaf, since each hears its whole region;
+// without regions the three are.
+TEST(Exchange, WhoHearsItsRegionIsNotDeaf) {
+  for (const bool regions : {true, false}) {
+    SimulatedNetwork net(25);
+    for (std::size_t n = 0; n < 12; ++n)
+      net.start(n, 12, [&](Settings& settings) {
+        if (!regions) return;
+        settings.region = n < 3 ? 2 : 1;
+        settings.regionExpected = n < 3 ? 3 : 9;
+      });
+    ASSERT_TRUE(net.until([&] { return allHear(net, 12); }, 10 * kSecond));
+    net.faults.passes = [](std::size_t from, std::size_t to) { return (from < 3) == (to < 3); };
+    bool deaf = false;
+    for (int n = 0; n < 40; ++n) {
+      net.run(500 * kMs);
+      deaf = deaf || !net.all([&](Members& one) { return !one.deaf(net.now); });
+    }
+    EXPECT_EQ(deaf, !regions);
+    net.run(70 * kSecond);  // longer than the dead are remembered, and both seeds are on one side
+    net.faults.passes = nullptr;
+    EXPECT_TRUE(net.until([&] { return allHear(net, 12); }, 8 * kSecond)) << regions;
+  }
+}
+
+// Without a seed on the other side either: those forgotten are tried at where they were.
+TEST(Exchange, TwoSidesFindEachOtherWithoutSeedsAfterAnHour) {
+  SimulatedNetwork net(27);
+  for (std::size_t n = 0; n < 10; ++n) net.start(n, 10);
+  ASSERT_TRUE(net.until([&] { return allHear(net, 10); }, 10 * kSecond));
+  for (std::size_t n = 0; n < 3; ++n) net.kill(n);  // the seeds
+  net.run(10 * kSecond);
+  net.faults.passes = [](std::size_t from, std::size_t to) { return from % 2 == to % 2; };
+  net.run(3600 * kSecond);
+  EXPECT_TRUE(net.all([](Members& one) { return one.heard() < 7; }));
+  net.faults.passes = nullptr;
+  EXPECT_TRUE(net.until([&] { return allHear(net, 7); }, 30 * kSecond));
+}
+
+}  // namespace
+}  // namespace ivypost::peers
