--- a/tests/run.sh
+++ b/tests/run.sh
@@ -46,7 +46,9 @@
   if [ -n "$known_red" ]; then
     echo "known to fail (KNOWN-RED.txt):"
     cat KNOWN-RED.txt
-    ctest --test-dir "$dir" -j"$jobs" -R "^($known_red)\$" | grep -E 'Passed|Failed|Timeout' || true
+    # How they end decides nothing; a name that is no test's prints no outcome, and ends it here.
+    if ctest --test-dir "$dir" -j"$jobs" -R "^($known_red)\$" >"$dir/known-red.log"; then echo "all of them passed: take them off"; fi
+    grep -E 'Passed|Failed|Timeout' "$dir/known-red.log"
   fi
 done
 
