--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -100,6 +100,7 @@
     const std::string place = " by " + name + " on connection " + std::to_string(number);
     Reader reader(connection);
     Message request;
+    bool hasCopied = false;  // one copy a connection: behind it, a request may be on its way at any time
     while (reader.read(request) == ReadEnd::Complete) {
       const std::string id = request.header("x-trace-id");
       if (id.empty()) {
@@ -111,7 +112,7 @@
       sleepFor(kWork);
       const std::string answer = answerText(200, "ran " + id);
       if (!sendAll(connection, answer)) break;
-      if (!hasTrouble() || counts.run % kCopyEach != 0) continue;
+      if (!hasTrouble() || hasCopied || counts.run % kCopyEach != 0) continue;
       // Only when nothing else waits on the connection: not a byte of another request has come to the
       // upstream.
       if (reader.bytes() > 0 || isReadableWithin(connection, kCopyLater)) {
@@ -120,6 +121,7 @@
       }
       record.line("copy     " + id + place);
       ++counts.copies;
+      hasCopied = true;
       if (!sendAll(connection, answer)) break;
     }
     close(connection);
