--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -239,7 +239,7 @@
   handle(update);
   for (const auto& entry : update.entries) {
     if (entry.state != balancer::EndpointState::Draining) continue;
-    pool_.failConnecting(entry.upstream);
+    pool_.failWaiting(entry.upstream);
     if (admin_.exclusions().isExcluded(endpoints_[entry.upstream].id)) pool_.closeIdle(entry.upstream);
   }
   for (const EndpointId upstream : endpoints_.unlisted()) {
--- a/src/sidecar/upstream/connection_pool.cpp
+++ b/src/sidecar/upstream/connection_pool.cpp
@@ -39,6 +39,15 @@
   return microseconds(static_cast<Micros>(kIdleTimeFraction * static_cast<double>(settings.idleTimeout)));
 }
 
+Clock::time_point idleSince(const std::shared_ptr<UpstreamConnection>& connection) {
+  return connection->idleSince();
+}
+
+// Orders connections by the time since which they are idle.
+bool isIdleAfter(Clock::time_point time, const std::shared_ptr<UpstreamConnection>& connection) {
+  return time < connection->idleSince();
+}
+
 // Whether a part of a streamed body has been sent, so that the body can't be resent.
 bool isBodyConsumed(const UpstreamJob& job) {
   return job.attempt && job.attempt->upload && job.attempt->upload->pipe.forwardedBytes() > 0;
@@ -69,24 +78,28 @@
     idle_.resize(upstream + 1);
   }
   if (addresses_[upstream] == address) return;
-  closeIdle(upstream);  // idle and connecting sockets belong to the previous address
-  failConnecting(upstream);
+  closeUnused(upstream);  // idle and connecting sockets belong to the previous address
   addresses_[upstream] = address;
 }
 
 void ConnectionPool::remove(EndpointId upstream) {
   if (upstream >= addresses_.size()) return;
   addresses_[upstream].reset();
+  closeUnused(upstream);
+}
+
+// Closes the connections on which nothing of a job has been written. Those that settle become idle first.
+void ConnectionPool::closeUnused(EndpointId upstream) {
+  failWaiting(upstream);
   closeIdle(upstream);
-  failConnecting(upstream);
 }
 
-void ConnectionPool::failConnecting(EndpointId upstream) {
-  std::vector<ConnectionPtr> connecting;
+void ConnectionPool::failWaiting(EndpointId upstream) {
+  std::vector<ConnectionPtr> waiting;
   for (const auto& [key, connection] : connections_) {
-    if (connection->upstream() == upstream && connection->isConnecting()) connecting.push_back(connection);
+    if (connection->upstream() == upstream && connection->hasWaitingJob()) waiting.push_back(connection);
   }
-  for (const auto& connection : connecting) connection->fail(Outcome::ConnectFailed);
+  for (const auto& connection : waiting) connection->fail(Outcome::ConnectFailed);
 }
 
 void ConnectionPool::closeIdle(EndpointId upstream) {
@@ -115,9 +128,15 @@
 
 void ConnectionPool::start(std::shared_ptr<UpstreamJob> job) {
   job->startedAt = Clock::now();
+  dispatch(std::move(job));
+}
+
+// Assigns the job to a connection. Called again if the connection ends before the job is started.
+void ConnectionPool::dispatch(std::shared_ptr<UpstreamJob> job) {
   if (isBodyConsumed(*job)) return onEnded(*job, Outcome::ConnectFailed);
   if (isClientGone(*job)) return onEnded(*job, Outcome::Moot);
-  if (const auto reused = takeIdle(job->upstream)) return reused->startJob(std::move(job));
+  if (const auto settled = takeSettled(job->upstream)) return settled->startJob(std::move(job));
+  if (const auto settling = takeSettling(*job)) return settling->startJobWhenSettled(std::move(job));
   const auto& address = addresses_.at(job->upstream);
   if (!address || !ensureCapacity()) return onEnded(*job, Outcome::ConnectFailed);
   const auto connection = std::make_shared<UpstreamConnection>(context_, job->upstream, *address);
@@ -125,12 +144,14 @@
   connection->open(std::move(job));
 }
 
-ConnectionPool::ConnectionPtr ConnectionPool::takeIdle(EndpointId upstream) {
+// Removes from the idle connections the one that carries the next job at once; null: there is none.
+ConnectionPool::ConnectionPtr ConnectionPool::takeSettled(EndpointId upstream) {
   auto& idle = idle_[upstream];
-  const auto since = [](const auto& connection) { return connection->idleSince(); };
-  while (!idle.empty()) {
+  for (;;) {
     const auto now = Clock::now();
-    const auto at = idle.begin() + static_cast<std::ptrdiff_t>(chooseIdleConnection(idle, now, since));
+    const auto index = chooseSettledConnection(idle, now, idleSince);
+    if (!index) return nullptr;
+    const auto at = idle.begin() + static_cast<std::ptrdiff_t>(*index);
     auto chosen = *at;
     idle.erase(at);
     // The idle timeout may have passed although its timer has not run: the event loop may have run the
@@ -138,7 +159,48 @@
     if (now - chosen->idleSince() < context_.idleTime && chosen->isUsable()) return chosen;
     chosen->close();
   }
-  return nullptr;
+}
+
+// Removes from the idle connections the one that settles first; null: there is none, or the job can't wait.
+// Requires that no idle connection has settled.
+ConnectionPool::ConnectionPtr ConnectionPool::takeSettling(const UpstreamJob& job) {
+  auto& idle = idle_[job.upstream];
+  // The balancer's own timeout of a probe can be shorter than the time that a connection takes to settle.
+  if (idle.empty() || !job.attempt) return nullptr;
+  const auto writeBy = std::min(job.deadline, job.writeBy);
+  if (!shouldAwaitSettling(idle.front()->idleSince(), Clock::now(), writeBy)) return nullptr;
+  if (shouldGrow(job.upstream)) return nullptr;
+  auto first = idle.front();
+  idle.erase(idle.begin());
+  return first;
+}
+
+// Whether a connection is opened for an attempt that could wait until another one has settled: a second
+// attempt that would wait for the same upstream shows that it has too few connections. At the connection
+// limit, it gets one of an upstream that has more.
+bool ConnectionPool::shouldGrow(EndpointId upstream) {
+  const bool hasWaitingAttempt = std::any_of(
+      connections_.begin(), connections_.end(),
+      [&](const auto& entry) { return entry.second->upstream() == upstream && entry.second->isSettling(); });
+  if (!hasWaitingAttempt) return false;
+  return connections_.size() < maxConnections_ || closeSurplusConnection(upstream);
+}
+
+// Closes the connection that was idle longest of the upstreams that have at least two connections more than
+// this one. Returns false if there is none. Each call evens the numbers out, so that a persistent load does
+// not make the pool replace connections all the time.
+bool ConnectionPool::closeSurplusConnection(EndpointId upstream) {
+  std::vector<std::size_t> counts(idle_.size());
+  for (const auto& [key, connection] : connections_) ++counts[connection->upstream()];
+  ConnectionPtr oldest;
+  for (std::size_t other = 0; other < idle_.size(); ++other) {
+    const auto& idle = idle_[other];
+    if (idle.empty() || counts[other] < counts[upstream] + 2) continue;
+    if (!oldest || idle.front()->idleSince() < oldest->idleSince()) oldest = idle.front();
+  }
+  if (!oldest) return false;
+  oldest->close();
+  return true;
 }
 
 // Keeps the pool within its share of descriptors: at the limit, closes the connection that was idle longest.
@@ -192,8 +254,13 @@
   callbacks_.onStreamBegin(std::move(begin));
 }
 
+void ConnectionPool::onNotStarted(std::shared_ptr<UpstreamJob> job) {
+  dispatch(std::move(job));
+}
+
 void ConnectionPool::onIdle(const ConnectionPtr& connection) {
-  idle_[connection->upstream()].push_back(connection);
+  auto& idle = idle_[connection->upstream()];
+  idle.insert(std::upper_bound(idle.begin(), idle.end(), connection->idleSince(), isIdleAfter), connection);
 }
 
 void ConnectionPool::onClosed(const ConnectionPtr& connection) {
--- a/src/sidecar/upstream/connection_pool.h
+++ b/src/sidecar/upstream/connection_pool.h
@@ -63,16 +63,17 @@
   /// in remove().
   void setAddress(EndpointId upstream, const Endpoint& address);
   /// Removes an endpoint: closes its idle connections at once and the busy ones when their attempts end, and
-  /// calls failConnecting().
+  /// calls failWaiting().
   void remove(EndpointId upstream);
-  /// Closes the endpoint's connections that are not established yet; their attempts end as ConnectFailed,
-  /// never sent. Called when an upstream must get no new requests: otherwise a connection that is established
-  /// late would still carry its request to the upstream.
-  void failConnecting(EndpointId upstream);
+  /// Ends as ConnectFailed, never sent, the endpoint's attempts that wait for a connection to be established,
+  /// which is closed, or to settle. Called when an upstream must get no new requests: otherwise a connection
+  /// that is established late would still carry its request to the upstream.
+  void failWaiting(EndpointId upstream);
   /// Closes the endpoint's idle connections. The endpoint must have had an address.
   void closeIdle(EndpointId upstream);
 
-  /// Sends an attempt over an idle connection or a new one. The endpoint must have had an address.
+  /// Sends an attempt over a connection that has been idle for kSettlingTime. If there is none, waits for one
+  /// or opens a new one (shouldAwaitSettling()). The endpoint must have had an address.
   void send(AttemptOrder order);
   /// Closes the attempt's connection at once. The attempt ends as Cancelled, or as Timeout if its deadline
   /// has passed. Ignored if the attempt has ended.
@@ -80,8 +81,8 @@
   /// Ends as Moot those attempts of a finished request whose last byte has not been sent, whether or not
   /// running attempts may be cancelled.
   void cancelUnsent(balancer::RequestId request);
-  /// Sends a probe, which requests the endpoint's load report. Times out after 300 ms. The endpoint must have
-  /// had an address.
+  /// Sends a probe, which requests the endpoint's load report. Times out after 300 ms. Does not wait for a
+  /// connection to settle. The endpoint must have had an address.
   void probe(EndpointId upstream);
 
   /// The number of connections in any state.
@@ -98,12 +99,18 @@
   [[nodiscard]] bool isCurrentAddress(EndpointId upstream, const Endpoint& address) const override;
   void onWritten(AttemptId id) override;
   void onStreamBegin(StreamBegin begin) override;
+  void onNotStarted(std::shared_ptr<UpstreamJob> job) override;
   void onIdle(const ConnectionPtr& connection) override;
   void onClosed(const ConnectionPtr& connection) override;
   void onEnded(UpstreamJob& job, balancer::Outcome outcome) override;
 
+  void closeUnused(EndpointId upstream);
   void start(std::shared_ptr<UpstreamJob> job);
-  ConnectionPtr takeIdle(EndpointId upstream);
+  void dispatch(std::shared_ptr<UpstreamJob> job);
+  ConnectionPtr takeSettled(EndpointId upstream);
+  ConnectionPtr takeSettling(const UpstreamJob& job);
+  bool shouldGrow(EndpointId upstream);
+  bool closeSurplusConnection(EndpointId upstream);
   bool ensureCapacity();
   void reportProbe(const UpstreamJob& job, bool isOk, Clock::duration latency);
   void reportAttempt(UpstreamJob& job, balancer::Outcome outcome, Clock::duration latency);
@@ -112,7 +119,7 @@
   const std::size_t maxConnections_;
   const UpstreamContext context_;
   std::vector<std::optional<Endpoint>> addresses_;  // by endpoint id; none: unknown or removed
-  std::vector<std::vector<ConnectionPtr>> idle_;    // by endpoint id; most recently used last
+  std::vector<std::vector<ConnectionPtr>> idle_;    // by endpoint id; the longest idle first
   std::map<const UpstreamConnection*, ConnectionPtr> connections_;
   std::map<AttemptId, std::shared_ptr<UpstreamJob>> attempts_;  // attempts that have not ended
 };
--- a/src/sidecar/upstream/upstream_connection.cpp
+++ b/src/sidecar/upstream/upstream_connection.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "network/nonblocking_io.h"
+#include "upstream/idle_connection_choice.h"
 
 namespace ivypost {
 namespace {
@@ -58,6 +59,29 @@
   exchange_.start();
 }
 
+void UpstreamConnection::startJobWhenSettled(std::shared_ptr<UpstreamJob> job) {
+  job->connection = weak_from_this();
+  exchange_.assign(std::move(job));
+  isSettling_ = true;
+  setDeadline(idleSince_ + kSettlingTime);
+}
+
+void UpstreamConnection::onSettled() {
+  if (!isUsable()) return returnJob();
+  // The client may have closed its connection in the meantime.
+  if (context_.host.isClientGone(*exchange_.job())) return fail(Outcome::Moot);
+  isSettling_ = false;
+  exchange_.start();
+}
+
+// Closes the connection and gives the job, of which nothing has been written, back to the pool.
+void UpstreamConnection::returnJob() {
+  isSettling_ = false;
+  auto job = exchange_.abandon();
+  close();
+  context_.host.onNotStarted(std::move(job));
+}
+
 bool UpstreamConnection::isUsable() {
   char byte = 0;
   error_code error;
@@ -76,7 +100,11 @@
 
 void UpstreamConnection::fail(Outcome outcome) {
   const auto job = exchange_.abandon();
-  close();
+  if (std::exchange(isSettling_, false)) {
+    returnToPool();
+  } else {
+    close();
+  }
   if (job) context_.host.onEnded(*job, outcome);
 }
 
@@ -88,10 +116,14 @@
   }
 }
 
-// Returns the connection to the pool and waits for the upstream to close it.
 void UpstreamConnection::becomeIdle() {
-  if (!context_.host.isCurrentAddress(upstream_, address_)) return close();
   idleSince_ = Clock::now();
+  returnToPool();
+}
+
+// Returns the connection to the pool and waits for the upstream to close it.
+void UpstreamConnection::returnToPool() {
+  if (!context_.host.isCurrentAddress(upstream_, address_)) return close();
   context_.host.onIdle(shared_from_this());
   setDeadline(idleSince_ + context_.idleTime);
   awaitReadable({});
@@ -107,13 +139,13 @@
 void UpstreamConnection::onReadable() {
   isAwaitingReadable_ = false;
   if (isClosed_) return;
-  if (exchange_.job() != nullptr) {
+  if (exchange_.job() != nullptr && !isSettling_) {
     // The wait was started while the connection was idle or for an answer. While a request is being written
     // no answer is expected yet.
     if (exchange_.expectsBytes()) exchange_.onReadable();
     return;
   }
-  if (!isUsable()) return close();
+  if (!isUsable()) return isSettling_ ? returnJob() : close();
   awaitReadable({});
 }
 
@@ -125,6 +157,7 @@
   if (isClosed_) return;
   const auto self = shared_from_this();
   if (exchange_.job() == nullptr) return close();
+  if (isSettling_) return onSettled();
   fail(exchange_.timeoutOutcome());
 }
 
--- a/src/sidecar/upstream/upstream_connection.h
+++ b/src/sidecar/upstream/upstream_connection.h
@@ -29,6 +29,11 @@
   [[nodiscard]] Clock::time_point idleSince() const { return idleSince_; }
   /// Whether the connection is being established; nothing of its job has been written then.
   [[nodiscard]] bool isConnecting() const { return isConnecting_; }
+  /// Whether its job waits for the connection to settle.
+  [[nodiscard]] bool isSettling() const { return isSettling_; }
+  /// Whether its job waits for the connection to be established or to settle; nothing of the job has been
+  /// written then.
+  [[nodiscard]] bool hasWaitingJob() const { return isConnecting_ || isSettling_; }
   /// Whether an idle connection is open and has no unexpected bytes to read. Costs one system call.
   [[nodiscard]] bool isUsable();
 
@@ -36,10 +41,15 @@
   void open(std::shared_ptr<UpstreamJob> job);
   /// Carries a job. Requires an idle connection.
   void startJob(std::shared_ptr<UpstreamJob> job);
+  /// Carries a job as soon as the connection has been idle for kSettlingTime. If the upstream sends bytes or
+  /// closes the connection before, the job is returned through UpstreamHost::onNotStarted(). Requires an idle
+  /// connection.
+  void startJobWhenSettled(std::shared_ptr<UpstreamJob> job);
   /// Closes at once. Does nothing if already closed.
   void close();
   /// Closes the connection and then ends the job, in this order, so that no further attempt is sent while
-  /// this one may still reach the upstream.
+  /// this one may still reach the upstream. If the job waits for the connection to settle, the connection
+  /// becomes idle again instead.
   void fail(balancer::Outcome outcome) override;
 
  private:
@@ -53,7 +63,10 @@
   void onConnected(const boost::system::error_code& failed);
   void onReadable();
   void onDeadline();
+  void onSettled();
+  void returnJob();
   void becomeIdle();
+  void returnToPool();
 
   const UpstreamContext& context_;
   const EndpointId upstream_;
@@ -63,6 +76,7 @@
   UpstreamExchange exchange_;
   Clock::time_point idleSince_;
   bool isConnecting_ = false;
+  bool isSettling_ = false;  // holds a job that starts once the connection has settled
   bool isAwaitingReadable_ = false;
   bool isClosed_ = false;
 };
--- a/src/sidecar/upstream/upstream_job.h
+++ b/src/sidecar/upstream/upstream_job.h
@@ -50,6 +50,8 @@
   virtual void onWritten(AttemptId id) = 0;
   /// The streaming of an answer begins. The receiver may end the job from within the call.
   virtual void onStreamBegin(StreamBegin begin) = 0;
+  /// The connection did not start the job that waited for it, and is closed.
+  virtual void onNotStarted(std::shared_ptr<UpstreamJob> job) = 0;
   /// The connection has become idle and can carry the next job.
   virtual void onIdle(const std::shared_ptr<UpstreamConnection>& connection) = 0;
   /// The connection has been closed and can't be used again.
--- a/tests/attempts_test.cpp
+++ b/tests/attempts_test.cpp
@@ -9,7 +9,7 @@
 #include <map>
 #include <set>
 
-#include "moments.h"
+#include "sidecar/upstream/pool_fixture.h"
 
 namespace ivypost {
 namespace {
@@ -27,39 +27,6 @@
   FAIL() << "no socket is bound to the address";
 }
 
-class PoolTest : public SidecarTest {
- protected:
-  void open(const json& patch) {
-    config.emplace(configure(patch));
-    pool.emplace(io, *config, budget,
-                 ConnectionPool::Callbacks{[](AttemptId) {},
-                                           [this](AttemptEnd end) { ends.push_back(std::move(end)); },
-                                           {},
-                                           {},
-                                           [this](balancer::RequestId id) { return gone.count(id) > 0; }});
-  }
-  void send(balancer::RequestId id, const std::string& body, const std::string& padding = "") {
-    auto message = std::make_shared<Message>();
-    message->method(http::verb::post);
-    message->target("/cambio/7");
-    message->version(11);
-    message->set("X-Trace-Id", traceOf(static_cast<int>(id)));
-    if (!padding.empty()) message->set("X-Props", padding);
-    message->body() = body;
-    AttemptOrder order;
-    order.id = {id, 0};
-    order.message = std::move(message);
-    order.deadline = order.writeBy = Clock::now() + std::chrono::seconds(60);
-    pool->send(std::move(order));
-  }
-
-  streaming::ByteBudget budget{1'000'000};
-  std::optional<Config> config;
-  std::optional<ConnectionPool> pool;
-  std::vector<AttemptEnd> ends;
-  std::set<balancer::RequestId> gone;  // requests whose clients have left
-};
-
 // First attempts, retries and hedged requests all begin in send(): for a client that has left nothing is sent
 // on an idle connection, and that connection stays available for the next attempt.
 TEST_F(PoolTest, NothingIsSentOnAnIdleConnectionForAClientThatHasLeft) {
