Listener: pause and resume; only a stopping process closes its socket

Cause: Lifecycle goes from Draining back to Starting, which accepts nothing for a while; Server::apply() knew only Listener::stop(), which closes the acceptor for good, and Listener::start() then returned without a word. Change: Effects::closesListeningSocket, in Stopping alone; otherwise the listener pauses (the pending accept is cancelled) and can be started again.

--- a/src/lifecycle/lifecycle.cpp
+++ b/src/lifecycle/lifecycle.cpp
@@ -107,6 +107,7 @@
       settings_.sharesListeningSocket ? Duration::zero() : std::min(kStopAcceptPeriod, finalResponseDelay());
   Effects effects;
   effects.acceptsConnections = !hasElapsed(stateEnteredAt_, acceptPeriod, now);
+  effects.closesListeningSocket = !effects.acceptsConnections;
   effects.closesIdleConnections = true;
   effects.mayExit = hasElapsed(stateEnteredAt_, std::min(acceptPeriod + kStopLinger, exitDelay()), now);
   effects.sendsFinalResponses = hasElapsed(stateEnteredAt_, finalResponseDelay(), now);
--- a/src/lifecycle/lifecycle.h
+++ b/src/lifecycle/lifecycle.h
@@ -38,8 +38,10 @@
 struct Effects {
   /// GET /ready and the admin API answer that the sidecar is ready.
   bool isReady = false;
-  /// Connections are accepted from the listening socket.
+  /// Connections are accepted from the listening socket. May change to false and back to true.
   bool acceptsConnections = false;
+  /// The listening socket is closed. Holds until the process exits, as does `!acceptsConnections` with it.
+  bool closesListeningSocket = false;
   /// Connections are kept alive after a response.
   bool keepsConnections = false;
   /// Idle connections are closed, in repeated sweeps.
--- a/src/sidecar/listener.cpp
+++ b/src/sidecar/listener.cpp
@@ -57,8 +57,16 @@
   accept();
 }
 
-void Listener::stop() {
+void Listener::pause() {
   isStarted_ = false;
+  waitsForCapacity_ = false;
+  timer_.cancel();
+  error_code ignored;
+  acceptor_.cancel(ignored);
+}
+
+void Listener::close() {
+  pause();
   // The connections in the queue are served, unless another process accepts from it too. A connection that
   // has ended there, or a lack of descriptors, does not mean that the queue is empty.
   for (int failures = 0; !isInherited_ && failures < kMaxFailuresInARow;) {
@@ -73,7 +81,6 @@
   // The socket is closed but never shut down: an inherited one stays open for the other process.
   error_code ignored;
   acceptor_.close(ignored);
-  waitsForCapacity_ = false;
 }
 
 void Listener::onCapacity() {
@@ -93,9 +100,9 @@
 
 void Listener::onAccept(const error_code& error, tcp::socket socket) {
   isAccepting_ = false;
-  // An accepted connection is served even if the acceptor has been closed since.
+  // An accepted connection is served even if the listener has been paused or closed since.
   if (!error) callbacks_.onAccepted(std::move(socket));
-  if (!acceptor_.is_open()) return;
+  if (!isStarted_) return;
   failuresInARow_ = error ? failuresInARow_ + 1 : 0;
   const bool isShort = isSystemShortage(error);
   if (!isShort && failuresInARow_ < kMaxFailuresInARow) return accept();
--- a/src/sidecar/listener.h
+++ b/src/sidecar/listener.h
@@ -22,7 +22,7 @@
     /// Closes one client connection that may be evicted; false if there is none.
     std::function<bool()> evictConnection;
     /// Takes ownership of an accepted connection. Also called for a connection whose accept completes after
-    /// stop().
+    /// pause() or close().
     std::function<void(boost::asio::ip::tcp::socket)> onAccepted;
   };
 
@@ -31,15 +31,18 @@
   Listener(boost::asio::io_context& io, const Config& config, const admission::ConnectionLimiter& limiter,
            Callbacks callbacks);
 
-  /// Starts accepting. Does nothing after stop().
+  /// Starts accepting, also after pause(). Does nothing after close().
   void start();
-  /// Accepts the connections in the kernel's queue, unless another process accepts from it too, and closes
-  /// the socket.
-  void stop();
+  /// Stops accepting until start(). New connections wait in the kernel's queue, from which another process
+  /// may accept them; one whose accept has completed is still served.
+  void pause();
+  /// Stops accepting for good: accepts the connections in the kernel's queue, unless another process accepts
+  /// from it too, and closes the socket.
+  void close();
   /// A client connection was closed: resumes accepting if the listener waits for that.
   void onCapacity();
 
-  /// The listening port. Throws boost::system::system_error after stop().
+  /// The listening port. Throws boost::system::system_error after close().
   [[nodiscard]] std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
 
  private:
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -197,12 +197,10 @@
 }
 
 void Server::apply(const lifecycle::Effects& effects) {
-  const bool accepted = std::exchange(effects_, effects).acceptsConnections;
-  if (effects.acceptsConnections) {
-    if (!accepted) listener_.start();
-  } else if (accepted) {
-    listener_.stop();
-  }
+  const lifecycle::Effects before = std::exchange(effects_, effects);
+  if (effects.acceptsConnections && !before.acceptsConnections) listener_.start();
+  if (!effects.acceptsConnections && before.acceptsConnections) listener_.pause();
+  if (effects.closesListeningSocket && !before.closesListeningSocket) listener_.close();
   if (effects.closesIdleConnections && !isSweeping_) sweep();
 }
 
--- a/tests/lifecycle/lifecycle_test.cpp
+++ b/tests/lifecycle/lifecycle_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <optional>
 #include <ostream>
 
@@ -12,10 +13,10 @@
 // GoogleTest calls these functions to print values in failure messages.
 void PrintTo(const Effects& effects, std::ostream* out) {
   *out << "{isReady " << effects.isReady << ", acceptsConnections " << effects.acceptsConnections
-       << ", keepsConnections " << effects.keepsConnections << ", closesIdleConnections "
-       << effects.closesIdleConnections << ", acceptsRequests " << effects.acceptsRequests << ", mayExit "
-       << effects.mayExit << ", mustExit " << effects.mustExit << ", sendsFinalResponses "
-       << effects.sendsFinalResponses << "}";
+       << ", closesListeningSocket " << effects.closesListeningSocket << ", keepsConnections "
+       << effects.keepsConnections << ", closesIdleConnections " << effects.closesIdleConnections
+       << ", acceptsRequests " << effects.acceptsRequests << ", mayExit " << effects.mayExit << ", mustExit "
+       << effects.mustExit << ", sendsFinalResponses " << effects.sendsFinalResponses << "}";
 }
 
 void PrintTo(State state, std::ostream* out) {
@@ -148,10 +149,35 @@
   lifecycle.handle(Event::DrainRequested, at(1us));
   lifecycle.handle(Event::DrainCancelled, at(2us));
   EXPECT_EQ(lifecycle.state(), State::Starting);
+  EXPECT_FALSE(lifecycle.effects().acceptsConnections);
+  EXPECT_FALSE(lifecycle.effects().closesListeningSocket) << "it accepts connections again later";
   runUntil(Lifecycle::kDiscoveryTimeoutWithoutEndpoints);
   EXPECT_EQ(lifecycle.state(), State::Ready);
 }
 
+// Guards against a process that is ready but accepts no connection: in a drain that was cancelled before the
+// first list, the listening socket was closed, although the process was to accept again.
+TEST(Lifecycle, ClosesTheListeningSocketOnlyWhenItNeverAcceptsAgain) {
+  constexpr std::array kEvents = {Event::EndpointListReceived, Event::DrainRequested, Event::DrainCancelled,
+                                  Event::TerminationRequested, Event::TimerExpired};
+  constexpr int kSteps = 6;
+  constexpr int kSequences = 15'625;  // 5 events in 6 steps
+  for (const bool isShared : {false, true}) {
+    for (int sequence = 0; sequence < kSequences; ++sequence) {
+      Lifecycle lifecycle({.sharesListeningSocket = isShared, .hasEndpoints = true}, at(0us));
+      bool isClosed = false;
+      for (int step = 0, rest = sequence; step < kSteps; ++step, rest /= static_cast<int>(kEvents.size())) {
+        lifecycle.handle(kEvents.at(static_cast<std::size_t>(rest) % kEvents.size()),
+                         at((step + 1) * 300'000us));
+        isClosed = isClosed || lifecycle.effects().closesListeningSocket;
+        ASSERT_EQ(lifecycle.effects().closesListeningSocket, isClosed) << sequence << " step " << step;
+        ASSERT_FALSE(isClosed && lifecycle.effects().acceptsConnections) << sequence << " step " << step;
+        ASSERT_FALSE(isClosed && lifecycle.effects().isReady) << sequence << " step " << step;
+      }
+    }
+  }
+}
+
 // The parameter is the state in which SIGTERM is received.
 class StopFromStateTest : public testing::TestWithParam<State> {};
 
--- a/tests/moments.h
+++ b/tests/moments.h
@@ -137,6 +137,7 @@
   static lifecycle::Effects stopping(bool accepts, bool mayEnd) {
     lifecycle::Effects effects;
     effects.acceptsConnections = accepts;
+    effects.closesListeningSocket = !accepts;
     effects.closesIdleConnections = true;
     effects.mayExit = mayEnd;
     return effects;
--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -391,7 +391,7 @@
   }
   for (const Client& client : clients) {
     ASSERT_TRUE(wait([&] { return client.answers() == 1; }));
-    EXPECT_EQ(client.answer(0).result_int(), 200U);
+    EXPECT_EQ(client.answer(0).result_int(), 200U) << client.answer(0).body();
   }
   ASSERT_TRUE(wait([&] { return stopped; }));
   // The platform owns the socket: it still listens, and the new process answers.
@@ -421,6 +421,60 @@
   EXPECT_TRUE(wait([&] { return call("GET", "/api/ready", *only) == 200; }));
 }
 
+// Guards against a process that says that it is ready and accepts no connection: it closed the inherited
+// socket when a drain was cancelled before its first list. Once with the old process serving, once alone.
+class DrainBeforeTheFirstListTest : public ReplacementTest, public testing::WithParamInterface<bool> {};
+
+TEST_P(DrainBeforeTheFirstListTest, LeavesTheProcessAccepting) {
+  const bool hasOldProcess = GetParam();
+  upstreams.push_back(std::make_unique<Peer>(io));
+  states.assign(1, "up");
+  upstreams[0]->onRequest = [](Peer::Exchange& request) { request.reply(200, "served"); };
+  std::unique_ptr<Sidecar> old;
+  if (hasOldProcess) {
+    old = process();
+    ASSERT_TRUE(wait([&] { return call("GET", "/api/ready", *old) == 200; }));
+  }
+  discovery.onRequest = nullptr;  // silent from here on
+  auto next = process();
+  for (int n = 0; n < 2; ++n) {
+    ASSERT_EQ(call("POST", "/api/evacuate", *next), 200U);
+    ASSERT_EQ(call("POST", "/api/rejoin", *next), 200U);
+  }
+  EXPECT_EQ(next->state(), lifecycle::State::Starting);
+  const Client early = newClient();  // accepted by the old process, or else when the new one is ready
+  ASSERT_TRUE(wait([&] { return call("GET", "/api/ready", *next) == 200; }));
+  bool stopped = !hasOldProcess;
+  if (old) old->stop([&] { stopped = true; });
+  ASSERT_TRUE(wait([&] { return stopped; }));
+  old.reset();
+  for (int n = 1; n <= 3; ++n) {
+    Client client = newClient();
+    Request request;
+    request.trace = trace(n);
+    client.send(request.text());
+    ASSERT_TRUE(wait([&] { return client.answers() == 1; }));
+    EXPECT_EQ(client.answer(0).result_int(), 200U);
+  }
+  EXPECT_TRUE(hasOldProcess || ready(early) == 200U);
+}
+
+INSTANTIATE_TEST_SUITE_P(OldProcess, DrainBeforeTheFirstListTest, testing::Bool());
+
+// Between the end of the drain and its first list the new process leaves new connections to the old one.
+TEST_F(ReplacementTest, AfterADrainBeforeItsFirstListTheNewProcessLeavesServiceToTheOldOne) {
+  upstreams.push_back(std::make_unique<Peer>(io));
+  states.assign(1, "up");
+  auto old = process();
+  ASSERT_TRUE(wait([&] { return call("GET", "/api/ready", *old) == 200; }));
+  discovery.onRequest = nullptr;  // silent from here on
+  const auto next = process();
+  ASSERT_EQ(call("POST", "/api/evacuate", *next), 200U);
+  ASSERT_EQ(call("POST", "/api/rejoin", *next), 200U);
+  for (int n = 0; n < 10; ++n) EXPECT_EQ(ready(newClient()), 200U);
+  EXPECT_EQ(next->state(), lifecycle::State::Starting);
+}
+
 // An unusable socket is reported in one line, and the sidecar opens its own listening socket.
 TEST_F(ReplacementTest, ABadDescriptorIsLeftOut) {
   const std::string number = std::to_string(platform.native_handle());
