--- a/review/common-2/rig.h
+++ b/review/common-2/rig.h
@@ -563,6 +563,9 @@
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // ends with the case, however that ends
       ::setpgid(0, 0);
       ::setenv("GW_CONFIG", path.c_str(), 1);
+      const auto sockets = static_cast<rlim_t>(settings.sockets);
+      const rlimit descriptors{sockets, sockets};  // as the platform limits them
+      ::setrlimit(RLIMIT_NOFILE, &descriptors);
       ::setenv("TMPDIR", (folder + "/tmp").c_str(), 1);
       if (::chdir(one.root.c_str()) != 0) ::_exit(127);
       const int log = ::open((folder + "/log").c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
