--- a/review/common-2/rig.h
+++ b/review/common-2/rig.h
@@ -358,6 +358,7 @@
   std::string id, address, lifecycle = "up";
   int cell = 0;
   long long startedAtMs = 0;
+  std::string zone = "z1";  // the sidecar's own, or z2
 };
 
 // Discovery, or its agent: whole lists and watches, as the protocol page words them. While it is down, each
@@ -392,10 +393,9 @@
 
  private:
   static std::string entry(const Instance& one) {
-    return "{\"instanceId\":\"" + one.id + "\",\"hostPort\":\"" + one.address +
-           "\",\"zone\":\"z1\",\"machineType\":\"m1\",\"cell\":" + std::to_string(one.cell) +
-           ",\"lifecycle\":\"" + one.lifecycle +
-           "\",\"weight\":1.0,\"startedAtMs\":" + std::to_string(one.startedAtMs) + "}";
+    return "{\"instanceId\":\"" + one.id + "\",\"hostPort\":\"" + one.address + "\",\"zone\":\"" + one.zone +
+           "\",\"machineType\":\"m1\",\"cell\":" + std::to_string(one.cell) + ",\"lifecycle\":\"" +
+           one.lifecycle + "\",\"weight\":1.0,\"startedAtMs\":" + std::to_string(one.startedAtMs) + "}";
   }
   // The answer to a call with this index; -1: the whole list.
   std::string list(long long index) {
@@ -517,7 +517,7 @@
          ",\"maxOpen\":20000,\"maxRetryAfter\":1200000,\"maxStreams\":1,\"mayCancel\":true,"
          "\"mayTell\":false,\"probing\":false,\"retryAfter\":false,\"secondCopies\":" +
          flag(s.secondCopies) +
-         "},\"locality\":\"z1\",\"zones\":[\"z1\"],\"skus\":[\"m1\"],\"membershipMode\":\"" +
+         "},\"locality\":\"z1\",\"zones\":[\"z1\",\"z2\"],\"skus\":[\"m1\"],\"membershipMode\":\"" +
          s.membershipMode +
          "\",\"report\":{\"how\":\"none\"},\"resolution\":5000,\"weights\":\"none\","
          "\"worthBy\":\"request\"}}";
