--- a/review/6/late_copy.cpp
+++ b/review/6/late_copy.cpp
@@ -101,6 +101,7 @@
         std::this_thread::sleep_until(message.endAt + way());  // the request's own way
         sleepMs(kWorkMs);
         const std::string trace = message.header("x-trace-id");
+        RECORD("upstream: %s has run", trace.c_str());
         const std::string text = answer200("for " + trace);
         const auto sentAt = Clock::now();
         line.send(text, sentAt);
@@ -146,18 +147,22 @@
           reader = std::make_unique<Reader>(fd);
         }
         const Request request{"quote", newTrace(), "", "x", false, kExpiresMs};
+        RECORD("client: %s is sent", request.trace.c_str());
         Message message;
         if (!sendAll(fd, request.text()) ||
             reader->read(message, Clock::now() + milliseconds(kExpiresMs + 500)) != Read::Whole) {
           ++others;
+          RECORD("client: %s has no answer", request.trace.c_str());
           ::close(fd);
           fd = -1;
           continue;
         }
         if (message.status() != 200) {
           ++others;
+          RECORD("client: %s answer %d", request.trace.c_str(), message.status());
         } else if (message.body == "for " + request.trace) {
           ++served;
+          RECORD("client: %s is served with its own answer", request.trace.c_str());
         } else {
           ++foreign;
           const std::lock_guard<std::mutex> lock(mutex);
--- a/review/7/body_memory.cpp
+++ b/review/7/body_memory.cpp
@@ -111,7 +111,7 @@
                             : client.closed        ? "closed with no answer"
                                                    : "open, no answer yet";
     ++ends[end];
-    if (client.answer.empty()) RECORD("client: %s %s", client.trace.c_str(), end.c_str());
+    RECORD("client: %s, %zu bytes written: %s", client.trace.c_str(), client.written, end.c_str());
   }
   for (const auto& [end, count] : ends) RECORD("clients: %d: %s", count, end.c_str());
   RECORD("peak %lld kB of its own, limit %d kB: %s", peak / 1024, kMemoryMb * 1024,
