--- a/review/7/body_memory.cpp
+++ b/review/7/body_memory.cpp
@@ -14,7 +14,7 @@
 constexpr long long kRate = 64'000;    // a body at 64 kB a second
 constexpr int kLargeBody = 1'000'000;  // bodies of up to 32 MB
 constexpr int kSmallBody = 1'000;
-constexpr long long kExpiresMs = 2400;
+constexpr long long kExpiresMs = 2000;  // 80 % of the class's deadline
 constexpr long long kPlayMs = 6000;
 
 struct Client {
--- a/review/8/restart_in_crowd.cpp
+++ b/review/8/restart_in_crowd.cpp
@@ -16,8 +16,8 @@
 constexpr std::size_t kStatedBody = 65'000;  // at most 64 KiB
 constexpr std::size_t kWrittenBody = 64'000;
 constexpr int kTrueRequests = 8;
-constexpr long long kWorkMs = 2000;     // of an upstream for a true request
-constexpr long long kExpiresMs = 2400;  // of the class's deadline of 2.5 s
+constexpr long long kWorkMs = 1700;     // of an upstream for a true request
+constexpr long long kExpiresMs = 2000;  // 80 % of the class's deadline of 2.5 s
 constexpr long long kKillMs =
     3700;  // SIGKILL follows SIGTERM by the deadline (3 s at most) and 0.7 s at the least
 
@@ -62,7 +62,7 @@
   Settings settings;
   settings.memoryMb = kMemoryMb;
   settings.sockets = kSockets;
-  settings.classes = {{"change", "single_shot", 2400, 2500}};
+  settings.classes = {{"change", "single_shot", 600, 2500}};
   Sidecar sidecar(one, settings, discovery.address());
   sidecar.awaitReady();
   sleepMs(500);
@@ -121,7 +121,7 @@
     }
     RECORD("a crowd of %d has connected and written a part of a request each", kCrowd);
   }
-  sleepMs(300);
+  sleepMs(100);
   RECORD("before SIGTERM: %lld kB of its own at the most, %d descriptors", peak / 1024,
          mostDescriptors.load());
   RECORD("SIGTERM");
