--- a/src/sidecar/upstream/answer_parser.cpp
+++ b/src/sidecar/upstream/answer_parser.cpp
@@ -5,6 +5,7 @@
 
 #include "framing.h"
 #include "stream_writer.h"
+#include "util/fnv1a.h"
 
 namespace ivypost {
 namespace {
@@ -24,6 +25,14 @@
   parser_.emplace();
   parser_->header_limit(kMaxHeader);
   parser_->body_limit(kMaxBody);
+  fingerprint_ = util::kFnv1aOffsetBasis;
+  fingerprintBytes_ = 0;
+}
+
+void AnswerParser::extendFingerprint(std::string_view bytes) {
+  const std::string_view covered = bytes.substr(0, kFingerprintSize - fingerprintBytes_);
+  fingerprint_ = util::fnv1a(covered, fingerprint_);
+  fingerprintBytes_ += covered.size();
 }
 
 // Parses the header separately from the body. Boost.Beast 1.74 does not enforce the body limit on a stated
@@ -32,7 +41,10 @@
   beast::error_code error;
   while (!error && !parser_->is_done() && buffer_.size() > 0) {
     const bool isHead = !parser_->is_header_done();
-    buffer_.consume(parser_->put(buffer_.data(), error));
+    const auto data = buffer_.data();
+    const std::size_t parsed = parser_->put(data, error);
+    extendFingerprint({static_cast<const char*>(data.data()), parsed});
+    buffer_.consume(parsed);
     if (!isHead || error || !parser_->is_header_done()) continue;
     if (!acceptHead()) return false;
   }
--- a/src/sidecar/upstream/answer_parser.h
+++ b/src/sidecar/upstream/answer_parser.h
@@ -29,6 +29,8 @@
   /// The most informational answers (RFC 9110, 15.2) that are accepted before a final one. No known server
   /// sends more.
   static constexpr int kMaxInformational = 8;
+  /// The bytes of an answer that its fingerprint covers, from the first one on.
+  static constexpr std::size_t kFingerprintSize = 1024;
 
   /// Prepares for the next answer. Bytes that are already buffered belong to that answer.
   void begin();
@@ -53,6 +55,15 @@
   /// \return false if the answer is still incomplete.
   [[nodiscard]] bool end();
 
+  /// Whether bytes are buffered that parse() has not used, such as those behind a complete answer.
+  [[nodiscard]] bool hasUnparsed() const { return buffer_.size() > 0; }
+  /// A hash of the first kFingerprintSize bytes of the final answer, as received. Two answers with different
+  /// fingerprints are different; the opposite does not hold.
+  [[nodiscard]] std::uint64_t fingerprint() const { return fingerprint_; }
+  /// Whether the fingerprint will not change any more.
+  [[nodiscard]] bool isFingerprintComplete() const {
+    return isComplete() || fingerprintBytes_ == kFingerprintSize;
+  }
   /// Whether the head of the final answer has been parsed.
   [[nodiscard]] bool hasHead() const { return parser_->is_header_done(); }
   /// Whether the answer has been parsed to its end.
@@ -84,10 +95,13 @@
 
   void beginHead();
   [[nodiscard]] bool acceptHead();
+  void extendFingerprint(std::string_view bytes);
 
   boost::beast::flat_buffer buffer_;  // bytes that are not parsed yet
   std::optional<Parser> parser_;      // empty before the first begin()
   int informational_ = 0;             // informational answers before the final one so far
+  std::uint64_t fingerprint_ = 0;
+  std::size_t fingerprintBytes_ = 0;  // covered by fingerprint_ so far
 };
 
 }  // namespace ivypost
--- a/src/sidecar/upstream/connection_pool.cpp
+++ b/src/sidecar/upstream/connection_pool.cpp
@@ -76,9 +76,11 @@
   if (upstream >= addresses_.size()) {
     addresses_.resize(upstream + 1);
     idle_.resize(upstream + 1);
+    responseTimes_.resize(upstream + 1);
   }
   if (addresses_[upstream] == address) return;
   closeUnused(upstream);  // idle and connecting sockets belong to the previous address
+  responseTimes_[upstream] = std::make_shared<ResponseTimes>();
   addresses_[upstream] = address;
 }
 
@@ -139,7 +141,8 @@
   if (const auto settling = takeSettling(*job)) return settling->startJobWhenSettled(std::move(job));
   const auto& address = addresses_.at(job->upstream);
   if (!address || !ensureCapacity()) return onEnded(*job, Outcome::ConnectFailed);
-  const auto connection = std::make_shared<UpstreamConnection>(context_, job->upstream, *address);
+  const auto connection =
+      std::make_shared<UpstreamConnection>(context_, job->upstream, *address, responseTimes_[job->upstream]);
   connections_.emplace(connection.get(), connection);
   connection->open(std::move(job));
 }
--- a/src/sidecar/upstream/connection_pool.h
+++ b/src/sidecar/upstream/connection_pool.h
@@ -120,6 +120,8 @@
   const UpstreamContext context_;
   std::vector<std::optional<Endpoint>> addresses_;  // by endpoint id; none: unknown or removed
   std::vector<std::vector<ConnectionPtr>> idle_;    // by endpoint id; the longest idle first
+  // By endpoint id; shared with the connections, which may outlive the entry.
+  std::vector<std::shared_ptr<ResponseTimes>> responseTimes_;
   std::map<const UpstreamConnection*, ConnectionPtr> connections_;
   std::map<AttemptId, std::shared_ptr<UpstreamJob>> attempts_;  // attempts that have not ended
 };
--- a/src/sidecar/upstream/upstream_connection.cpp
+++ b/src/sidecar/upstream/upstream_connection.cpp
@@ -19,13 +19,14 @@
 
 }  // namespace
 
-UpstreamConnection::UpstreamConnection(const UpstreamContext& context, EndpointId upstream, Endpoint address)
+UpstreamConnection::UpstreamConnection(const UpstreamContext& context, EndpointId upstream, Endpoint address,
+                                       std::shared_ptr<ResponseTimes> responseTimes)
     : context_(context),
       upstream_(upstream),
       address_(std::move(address)),
       socket_(context.io),
       deadline_(context.deadlines),
-      exchange_(*this, context) {}
+      exchange_(*this, context, std::move(responseTimes)) {}
 
 void UpstreamConnection::open(std::shared_ptr<UpstreamJob> job) {
   job->connection = weak_from_this();
@@ -158,7 +159,7 @@
   const auto self = shared_from_this();
   if (exchange_.job() == nullptr) return close();
   if (isSettling_) return onSettled();
-  fail(exchange_.timeoutOutcome());
+  exchange_.onDeadline();
 }
 
 }  // namespace ivypost
--- a/src/sidecar/upstream/upstream_connection.h
+++ b/src/sidecar/upstream/upstream_connection.h
@@ -20,8 +20,9 @@
 class UpstreamConnection final : public ExchangeConnection,
                                  public std::enable_shared_from_this<UpstreamConnection> {
  public:
-  /// Does not connect yet. `context` must outlive the connection.
-  UpstreamConnection(const UpstreamContext& context, EndpointId upstream, Endpoint address);
+  /// Does not connect yet. `context` must outlive the connection. `responseTimes`: of the upstream.
+  UpstreamConnection(const UpstreamContext& context, EndpointId upstream, Endpoint address,
+                     std::shared_ptr<ResponseTimes> responseTimes);
 
   /// The endpoint that it connects to.
   [[nodiscard]] EndpointId upstream() const { return upstream_; }
--- a/src/sidecar/upstream/upstream_exchange.cpp
+++ b/src/sidecar/upstream/upstream_exchange.cpp
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <utility>
 
+#include "admission/tcp_state.h"
 #include "framing.h"
 #include "network/nonblocking_io.h"
 #include "upstream/upstream_request.h"
@@ -38,10 +39,16 @@
 std::shared_ptr<UpstreamJob> UpstreamExchange::abandon() {
   auto job = std::exchange(job_, nullptr);
   isUploading_ = false;
+  held_.reset();
   if (const auto answer = std::exchange(answerPipe_, nullptr)) answer->fail();
   return job;
 }
 
+void UpstreamExchange::onDeadline() {
+  if (held_) return onHoldEnded();
+  connection_.fail(timeoutOutcome());
+}
+
 std::shared_ptr<UpstreamExchange> UpstreamExchange::sharedSelf() {
   return {connection_.self(), this};
 }
@@ -166,12 +173,14 @@
   job_->deadline = job_->attempt->upload->deadline;
   connection_.setDeadline(job_->deadline);
   job_->isWritten = true;
+  writtenAt_ = Clock::now();
   context_.host.onWritten(job_->attempt->id);
 }
 
 void UpstreamExchange::onWritten() {
   connection_.setDeadline(job_->deadline);
   job_->isWritten = true;
+  writtenAt_ = Clock::now();
   if (job_->attempt) context_.host.onWritten(job_->attempt->id);
   beginReading();
 }
@@ -180,6 +189,8 @@
 
 void UpstreamExchange::beginReading() {
   parser_.begin();
+  firstByteAt_.reset();
+  hasHeld_ = false;
   connection_.awaitReadable({});
 }
 
@@ -188,7 +199,9 @@
       answerPipe_ ? std::min(answerPipe_->freeCapacity(), kStreamReadSize) : kReadSize;
   if (readSize == 0) return pause();
   error_code error;
-  parser_.commit(network::receiveSome(connection_.socket(), parser_.prepare(readSize), error));
+  const std::size_t size = network::receiveSome(connection_.socket(), parser_.prepare(readSize), error);
+  parser_.commit(size);
+  if (size > 0 && !firstByteAt_) firstByteAt_ = Clock::now();
   if (network::isTransient(error)) return connection_.awaitReadable(error);
   if (error == asio::error::eof && parser_.endsWithConnection()) {
     if (!parser_.end()) return failBroken();
@@ -222,6 +235,11 @@
   if (!answerPipe_ && body.size() <= kStreamingThreshold &&
       (!length || *length <= kStreamingThreshold || body.empty()))
     return;
+  // A large answer can't be held: its copy is recognized by the fingerprint, and discarded.
+  if (!answerPipe_ && isEarly() && responseTimes_->areAnswersDistinct()) {
+    if (!parser_.isFingerprintComplete()) return;
+    if (isLikelyCopy(parser_.outcome(), parser_.fingerprint())) return body.clear();
+  }
   if (!answerPipe_) beginStream();
   if (!answerPipe_) return;  // beginStream() ended the job
   answerPipe_->push(body);
@@ -230,6 +248,7 @@
 }
 
 void UpstreamExchange::beginStream() {
+  held_.reset();  // this answer is the one that followed
   answerPipe_ = std::make_shared<streaming::Pipe>(context_.budget);
   answerPipe_->onCapacity = [weak = std::weak_ptr<UpstreamExchange>(sharedSelf())] {
     if (const auto self = weak.lock()) asio::post(self->context_.io, [self] { self->onBodyConsumed(); });
@@ -256,24 +275,107 @@
 }
 
 void UpstreamExchange::complete() {
+  if (!answerPipe_ && isDoubtful()) return hold();
+  held_.reset();
+  // A connection on which an answer was held has carried one answer too many.
+  finish(received(), !hasHeld_);
+}
+
+void UpstreamExchange::finish(Received answer, bool isReusable) {
   const auto job = std::exchange(job_, nullptr);
-  Outcome outcome = parser_.outcome();
+  Outcome outcome = answer.outcome;
   if (!job->isWritten && outcome != Outcome::Full) outcome = Outcome::ConnectFailed;
+  if (job->isWritten) responseTimes_->record(answer.responseTime);
+  if (previousAnswer_ && job->attempt && outcome == Outcome::Ok)
+    responseTimes_->recordRepetition(*previousAnswer_ == answer.fingerprint);
+  previousAnswer_ = answer.fingerprint;
   if (job->isStreamed) job->transfer += Clock::now() - job->streamingSince;
   if (const auto streamed = std::exchange(answerPipe_, nullptr)) streamed->end();
   isUploading_ = false;
-  job->loadReport = parser_.loadReport();
+  job->loadReport = std::move(answer.loadReport);
   if (outcome == Outcome::Ok) {
-    job->contentType = parser_.contentType();
-    job->body = parser_.body();
+    job->contentType = std::move(answer.contentType);
+    job->body = std::move(answer.body);
   }
-  connection_.release(parser_.keepsConnection() && job->isWritten);
+  connection_.release(isReusable && answer.keepsConnection && job->isWritten);
   context_.host.onEnded(*job, outcome);
 }
 
 // An attempt whose last byte was not sent can't have run, so that it counts as never sent.
 void UpstreamExchange::failBroken() {
+  if (held_) return onNothingFollows();
   connection_.fail(job_->isWritten ? Outcome::Reset : Outcome::ConnectFailed);
 }
 
+// ---- Early answers ----------------------------------------------------------------------------------------
+
+// Whether the current answer began too early to belong to the request.
+bool UpstreamExchange::isEarly() const {
+  return previousAnswer_ && firstByteAt_ && responseTimes_->isEarly(*firstByteAt_ - writtenAt_);
+}
+
+// Whether this answer repeats the connection's previous one. Rejections are alike anyway.
+bool UpstreamExchange::isLikelyCopy(Outcome outcome, std::uint64_t fingerprint) const {
+  return outcome == Outcome::Ok && responseTimes_->areAnswersDistinct() && previousAnswer_ == fingerprint;
+}
+
+// Whether the bytes that were received last had arrived too early, according to the kernel: the event loop
+// may have been late in reading them. Costs a system call.
+bool UpstreamExchange::arrivedEarly() const {
+  const auto waited = admission::timeSinceLastData(connection_.socket().native_handle());
+  return responseTimes_->isEarly(Clock::now() - waited - writtenAt_);
+}
+
+// Whether the answer that was received completely may belong to another request. An answer to a request that
+// was not sent completely has no such effect: the request can't have run.
+bool UpstreamExchange::isDoubtful() const {
+  if (!job_->isWritten || !previousAnswer_) return false;
+  return isEarly() || (isLikelyCopy(parser_.outcome(), parser_.fingerprint()) && arrivedEarly());
+}
+
+UpstreamExchange::Received UpstreamExchange::received() {
+  Received answer;
+  answer.outcome = parser_.outcome();
+  answer.contentType = parser_.contentType();
+  answer.loadReport = parser_.loadReport();
+  answer.fingerprint = parser_.fingerprint();
+  answer.responseTime = firstByteAt_.value_or(writtenAt_) - writtenAt_;
+  answer.keepsConnection = parser_.keepsConnection();
+  if (answer.outcome == Outcome::Ok) answer.body = std::move(parser_.body());
+  return answer;
+}
+
+// Keeps an early answer and reads what follows it.
+void UpstreamExchange::hold() {
+  held_ = received();
+  hasHeld_ = true;
+  const auto now = Clock::now();
+  const auto limit = now + (job_->deadline - now) / 2;
+  const bool isCopy = isLikelyCopy(held_->outcome, held_->fingerprint);
+  connection_.setDeadline(isCopy ? job_->deadline : std::min(limit, writtenAt_ + responseTimes_->holdTime()));
+  parser_.begin();
+  firstByteAt_.reset();
+  if (!parser_.hasUnparsed()) return connection_.awaitReadable({});
+  firstByteAt_ = now;
+  if (!parser_.parse()) return failBroken();
+  advance();
+}
+
+// The hold time has passed. If another answer has begun, it is the request's own; otherwise the held one is,
+// unless it is a copy.
+void UpstreamExchange::onHoldEnded() {
+  const bool isForeign = firstByteAt_ || isLikelyCopy(held_->outcome, held_->fingerprint);
+  if (!isForeign) return onNothingFollows();
+  held_.reset();
+  if (Clock::now() >= job_->deadline) return connection_.fail(timeoutOutcome());
+  connection_.setDeadline(job_->deadline);
+}
+
+// No other answer follows the held one.
+void UpstreamExchange::onNothingFollows() {
+  auto answer = *std::exchange(held_, std::nullopt);
+  if (isLikelyCopy(answer.outcome, answer.fingerprint)) return connection_.fail(Outcome::Reset);
+  finish(std::move(answer), !firstByteAt_);
+}
+
 }  // namespace ivypost
--- a/src/sidecar/upstream/upstream_exchange.h
+++ b/src/sidecar/upstream/upstream_exchange.h
@@ -6,7 +6,9 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -15,6 +17,7 @@
 #include "stream_writer.h"
 #include "streaming/pipe.h"
 #include "upstream/answer_parser.h"
+#include "upstream/response_times.h"
 #include "upstream/upstream_job.h"
 
 namespace ivypost {
@@ -55,6 +58,10 @@
 /// and a failure is ConnectFailed. After that the request may have run, whether or not the byte arrived, and
 /// the outcome is Timeout, Reset, or that of the answer. A byte is counted as sent in the same handler in
 /// which the kernel accepted it: no other handler can run in between.
+///
+/// An answer that comes too early to belong to the request (ResponseTimes) may be a second answer to the
+/// previous request on the connection. It is held until another answer follows, which is then the request's
+/// own, or until the hold time has passed. Other answers wait for nothing.
 class UpstreamExchange {
  public:
   /// The send buffer of the socket in bytes, as set with SO_SNDBUF (Linux doubles it). It limits the bytes of
@@ -62,9 +69,10 @@
   /// large body blocks in that case, and the request is known not to have arrived completely.
   static constexpr int kSendBufferSize = 16 * 1024;
 
-  /// Both arguments must outlive the exchange.
-  UpstreamExchange(ExchangeConnection& connection, const UpstreamContext& context)
-      : connection_(connection), context_(context) {}
+  /// `connection` and `context` must outlive the exchange. `responseTimes`: of the upstream.
+  UpstreamExchange(ExchangeConnection& connection, const UpstreamContext& context,
+                   std::shared_ptr<ResponseTimes> responseTimes)
+      : connection_(connection), context_(context), responseTimes_(std::move(responseTimes)) {}
 
   /// The current job; null: none.
   [[nodiscard]] const UpstreamJob* job() const { return job_.get(); }
@@ -80,11 +88,24 @@
   void start();
   /// The socket is readable or the stream has ended. Requires a job and expectsBytes().
   void onReadable();
+  /// The deadline that was set on the connection has passed. Requires a job.
+  void onDeadline();
   /// Detaches the job. A streamed answer fails.
   /// \return the job, which the caller must end; null: there was none.
   [[nodiscard]] std::shared_ptr<UpstreamJob> abandon();
 
  private:
+  // An answer that was received completely.
+  struct Received {
+    balancer::Outcome outcome = balancer::Outcome::Ok;
+    std::string body;
+    std::string contentType;
+    std::string loadReport;
+    std::uint64_t fingerprint = 0;
+    Clock::duration responseTime{};
+    bool keepsConnection = false;  // as AnswerParser::keepsConnection()
+  };
+
   // Sending the request.
   void write(std::string_view body, Clock::time_point now);
   void awaitWritable(boost::system::error_code previousError);
@@ -104,8 +125,19 @@
   void pause();
   void onBodyConsumed();
   void complete();
+  void finish(Received answer, bool isReusable);
   void failBroken();
 
+  // Holding an early answer.
+  [[nodiscard]] bool isEarly() const;
+  [[nodiscard]] bool isLikelyCopy(balancer::Outcome outcome, std::uint64_t fingerprint) const;
+  [[nodiscard]] bool arrivedEarly() const;
+  [[nodiscard]] bool isDoubtful() const;
+  [[nodiscard]] Received received();
+  void hold();
+  void onHoldEnded();
+  void onNothingFollows();
+
   [[nodiscard]] std::shared_ptr<UpstreamExchange> sharedSelf();
 
   ExchangeConnection& connection_;
@@ -116,6 +148,12 @@
   StreamWriter writer_;             // writes a streamed request body
   AnswerParser parser_;
   std::shared_ptr<streaming::Pipe> answerPipe_;  // a streamed answer; null: the answer is not streamed
+  std::shared_ptr<ResponseTimes> responseTimes_;
+  Clock::time_point writtenAt_;                   // when the last byte of the request was sent
+  std::optional<Clock::time_point> firstByteAt_;  // of the current answer
+  std::optional<std::uint64_t> previousAnswer_;   // the fingerprint; none: the connection had no answer yet
+  std::optional<Received> held_;                  // an early answer; another one may follow
+  bool hasHeld_ = false;                          // an answer was held in this exchange
   bool isUploading_ = false;
   bool isAwaitingWritable_ = false;  // waits for the kernel to accept more of a streamed body
   bool isReadingPaused_ = false;     // reading waits for capacity in the pipe of a streamed answer
--- a/tests/sidecar/upstream/pool_fixture.h
+++ b/tests/sidecar/upstream/pool_fixture.h
@@ -23,7 +23,7 @@
     pool.emplace(io, *config, budget,
                  ConnectionPool::Callbacks{[](AttemptId) {},
                                            [this](AttemptEnd end) { ends.push_back(std::move(end)); },
-                                           {},
+                                           [this](StreamBegin begin) { streams.push_back(std::move(begin)); },
                                            [this](ProbeEnd end) { probeEnds.push_back(end); },
                                            [this](balancer::RequestId id) { return gone.count(id) > 0; }});
   }
@@ -50,6 +50,7 @@
   std::optional<ConnectionPool> pool;
   std::vector<AttemptEnd> ends;
   std::vector<ProbeEnd> probeEnds;
+  std::vector<StreamBegin> streams;
   std::set<balancer::RequestId> gone;  // requests whose clients have left
 };
 
