--- a/src/sidecar/upstream/answer_parser.h
+++ b/src/sidecar/upstream/answer_parser.h
@@ -84,6 +84,8 @@
   [[nodiscard]] std::optional<std::uint64_t> length() const;
   /// The bytes of the body that have been received and not removed. The caller may remove bytes.
   [[nodiscard]] std::string& body() { return parser_->get().body(); }
+  /// Read-only access to the same bytes.
+  [[nodiscard]] const std::string& body() const { return parser_->get().body(); }
   /// The value of Content-Type; empty if the answer has none. Valid until the next call that is not const.
   [[nodiscard]] std::string_view contentType() const;
   /// The value of the header with the load report, unparsed; empty if the answer has none. Valid until the
--- a/src/sidecar/upstream/upstream_exchange.cpp
+++ b/src/sidecar/upstream/upstream_exchange.cpp
@@ -29,6 +29,17 @@
 constexpr milliseconds kUploadStallTimeout{2000};
 // A streamed answer fails if the upstream sends no byte for this period.
 constexpr milliseconds kAnswerStallTimeout{10'000};
+// An answer of unknown length is forwarded after this fraction of its attempt's time, or this long after its
+// first byte. Until then it is buffered, so that an answer that breaks off can be replaced by a retry.
+constexpr int kBufferingDivisor = 2;
+constexpr milliseconds kMaxBufferingTime{1000};
+// An answer of unknown length counts as slow, and not as one whose end is missing, once its body has been
+// received over this time.
+constexpr milliseconds kMinBodyTime{50};
+// What has been received of an answer is forwarded this long before its deadline, if the answer may be large,
+// or this fraction of a short attempt's time.
+constexpr milliseconds kForwardingMargin{50};
+constexpr int kForwardingMarginDivisor = 4;
 
 }  // namespace
 
@@ -46,6 +57,7 @@
 
 void UpstreamExchange::onDeadline() {
   if (held_) return onHoldEnded();
+  if (std::exchange(isForwardingDue_, false)) return onForwardingDue();
   connection_.fail(timeoutOutcome());
 }
 
@@ -175,6 +187,8 @@
   job_->isWritten = true;
   writtenAt_ = Clock::now();
   context_.host.onWritten(job_->attempt->id);
+  // The upstream may have sent a part of its answer ahead of the end of the request.
+  if (job_ && std::exchange(isReadingPaused_, false)) advance();
 }
 
 void UpstreamExchange::onWritten() {
@@ -190,7 +204,10 @@
 void UpstreamExchange::beginReading() {
   parser_.begin();
   firstByteAt_.reset();
+  bodySince_.reset();
   hasHeld_ = false;
+  isReadingPaused_ = false;
+  isForwardingDue_ = false;
   connection_.awaitReadable({});
 }
 
@@ -215,26 +232,61 @@
 // Continues after bytes have been parsed.
 void UpstreamExchange::advance() {
   // A large body is read only if it will be forwarded to a client.
-  const bool isForwarded =
-      parser_.hasHead() && job_->attempt && job_->isWritten && parser_.outcome() == Outcome::Ok;
-  if (isForwarded) {
+  const bool isForwardable = parser_.hasHead() && job_->attempt && parser_.outcome() == Outcome::Ok;
+  if (isForwardable && job_->isWritten) {
     forwardBody();
     if (!job_) return;
   } else if (parser_.body().size() > kStreamingThreshold) {
-    return failBroken();
+    if (!isForwardable || parser_.isComplete()) return failBroken();
+    isReadingPaused_ = true;  // until the request has been sent
+    return;
   }
   if (parser_.isComplete()) return complete();
   if (parser_.hasTooMuchUnparsed()) return failBroken();
   connection_.awaitReadable({});
 }
 
-// Forwards the received part of an answer that is too large to be buffered.
+// Whether the answer is too large to be buffered, or may be and has taken a part of its time already. What is
+// buffered can be replaced by a retry if the answer breaks off; what is forwarded can't.
+bool UpstreamExchange::shouldStream(Clock::time_point now) const {
+  const std::size_t size = parser_.body().size();
+  const auto length = parser_.length();
+  if (size == 0) return false;
+  if (length) return *length > kStreamingThreshold;
+  if (size > kStreamingThreshold) return true;
+  if (parser_.isComplete() || !isBodySlow(now)) return false;
+  const auto half = writtenAt_ + (job_->deadline - writtenAt_) / kBufferingDivisor;
+  return now >= std::min(half, firstByteAt_.value_or(now) + kMaxBufferingTime);
+}
+
+bool UpstreamExchange::isBodySlow(Clock::time_point now) const {
+  return bodySince_ && now - *bodySince_ >= kMinBodyTime;
+}
+
+// Has the received part of an answer forwarded before the deadline, even if no more of it is received.
+void UpstreamExchange::armForwarding(Clock::time_point now) {
+  const auto length = parser_.length();
+  if (length ? *length <= kStreamingThreshold : !isBodySlow(now)) return;
+  isForwardingDue_ = true;
+  const auto ofShortTime = (job_->deadline - writtenAt_) / kForwardingMarginDivisor;
+  connection_.setDeadline(job_->deadline - std::min<Clock::duration>(kForwardingMargin, ofShortTime));
+}
+
+void UpstreamExchange::onForwardingDue() {
+  connection_.setDeadline(job_->deadline);
+  startForwarding();
+}
+
+// Forwards the received part of an answer that should not be buffered.
 void UpstreamExchange::forwardBody() {
+  const auto now = Clock::now();
+  if (!bodySince_ && !parser_.body().empty()) bodySince_ = now;
+  if (!answerPipe_ && !parser_.isComplete() && !held_) armForwarding(now);
+  if (answerPipe_ || shouldStream(now)) startForwarding();
+}
+
+void UpstreamExchange::startForwarding() {
   std::string& body = parser_.body();
-  const auto length = parser_.length();
-  if (!answerPipe_ && body.size() <= kStreamingThreshold &&
-      (!length || *length <= kStreamingThreshold || body.empty()))
-    return;
   // A large answer can't be held: its copy is recognized by the fingerprint, and discarded.
   if (!answerPipe_ && isEarly() && responseTimes_->areAnswersDistinct()) {
     if (!parser_.isFingerprintComplete()) return;
@@ -244,6 +296,7 @@
   if (!answerPipe_) return;  // beginStream() ended the job
   answerPipe_->push(body);
   body.clear();
+  isForwardingDue_ = false;
   connection_.setDeadline(Clock::now() + kAnswerStallTimeout);
 }
 
@@ -349,12 +402,14 @@
 void UpstreamExchange::hold() {
   held_ = received();
   hasHeld_ = true;
+  isForwardingDue_ = false;
   const auto now = Clock::now();
   const auto limit = now + (job_->deadline - now) / 2;
   const bool isCopy = isLikelyCopy(held_->outcome, held_->fingerprint);
   connection_.setDeadline(isCopy ? job_->deadline : std::min(limit, writtenAt_ + responseTimes_->holdTime()));
   parser_.begin();
   firstByteAt_.reset();
+  bodySince_.reset();
   if (!parser_.hasUnparsed()) return connection_.awaitReadable({});
   firstByteAt_ = now;
   if (!parser_.parse()) return failBroken();
--- a/src/sidecar/upstream/upstream_exchange.h
+++ b/src/sidecar/upstream/upstream_exchange.h
@@ -122,6 +122,11 @@
   void advance();
   void beginStream();
   void forwardBody();
+  void startForwarding();
+  [[nodiscard]] bool shouldStream(Clock::time_point now) const;
+  [[nodiscard]] bool isBodySlow(Clock::time_point now) const;
+  void armForwarding(Clock::time_point now);
+  void onForwardingDue();
   void pause();
   void onBodyConsumed();
   void complete();
@@ -151,12 +156,15 @@
   std::shared_ptr<ResponseTimes> responseTimes_;
   Clock::time_point writtenAt_;                   // when the last byte of the request was sent
   std::optional<Clock::time_point> firstByteAt_;  // of the current answer
+  std::optional<Clock::time_point> bodySince_;    // the first bytes of its body, if it is forwardable
   std::optional<std::uint64_t> previousAnswer_;   // the fingerprint; none: the connection had no answer yet
   std::optional<Received> held_;                  // an early answer; another one may follow
   bool hasHeld_ = false;                          // an answer was held in this exchange
   bool isUploading_ = false;
   bool isAwaitingWritable_ = false;  // waits for the kernel to accept more of a streamed body
-  bool isReadingPaused_ = false;     // reading waits for capacity in the pipe of a streamed answer
+  bool isForwardingDue_ = false;     // the connection's deadline is that for forwarding what was received
+  // Reading waits for capacity in the pipe of a streamed answer, or for the end of the request.
+  bool isReadingPaused_ = false;
 };
 
 }  // namespace ivypost
--- /dev/null
+++ b/tests/slow_answer_test.cpp
@@ -0,0 +1,159 @@
+// Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
+//
+// Tests of answers that an upstream writes slowly: when they are forwarded, and when they are still replaced
+// by a retry.
+#include <chrono>
+
+#include "sidecar_rig.h"
+
+namespace ivypost {
+namespace {
+
+using std::chrono::milliseconds;
+
+class SlowAnswerTest : public SidecarTest {
+ protected:
+  static constexpr int kExpiresInMs = 600;
+
+  // Runs the event loop for this time.
+  void pass(milliseconds time) {
+    const auto end = Clock::now() + time;
+    wait([&] { return Clock::now() >= end; });
+  }
+  // Sends a request, and returns it as its upstream has received it.
+  Peer::Exchange request(const Client& client, const std::string& qos = "cambio",
+                         int expiresInMs = kExpiresInMs) {
+    Request sent;
+    sent.qos = qos;
+    sent.method = qos == "consulta" ? "GET" : "POST";
+    sent.body = qos == "consulta" ? "" : "x";
+    sent.expiresInMs = expiresInMs;
+    client.send(sent.text());
+    EXPECT_TRUE(wait([&] { return arrived() == 1; }));
+    return usedUpstream().requests.front();
+  }
+  static std::string chunk(const std::string& piece) {
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx", piece.size());
+    return std::string(size.data()) + "\r\n" + piece + "\r\n";
+  }
+};
+
+// An answer whose length the head does not state: its framing, and whether it ends with its connection.
+struct Framing {
+  const char* name;
+  const char* header;
+  bool isChunked;
+};
+
+class UnstatedLengthTest : public SlowAnswerTest, public testing::WithParamInterface<Framing> {
+ protected:
+  std::string piece(const std::string& bytes) const { return GetParam().isChunked ? chunk(bytes) : bytes; }
+  void finish(const Peer::Exchange& call) const {
+    if (GetParam().isChunked) return call.raw("0\r\n\r\n");
+    call.connection->socket.shutdown(tcp::socket::shutdown_send);
+  }
+};
+
+// Guards against an answer that is cut off (review/9): it was buffered until 64 KiB had come, and the
+// client's deadline ended it before.
+TEST_P(UnstatedLengthTest, IsForwardedBeforeTheDeadlineAndNotCutOff) {
+  start(1);
+  const Client one = client();
+  const auto call = request(one);
+  call.raw(std::string("HTTP/1.1 200 OK\r\n") + GetParam().header + "\r\n");
+  std::string body;
+  for (int n = 0; n < 40; ++n) {
+    const std::string next(2'500, static_cast<char>('a' + n % 23));
+    call.raw(piece(next));
+    body += next;
+    pass(milliseconds(2 * kExpiresInMs / 40));
+  }
+  finish(call);
+  ASSERT_TRUE(wait([&] { return one.answers() == 1; }));
+  EXPECT_EQ(one.answer(0).result_int(), 200U);
+  EXPECT_EQ(one.answer(0).body(), body);
+}
+
+// The same where the next bytes come after the deadline.
+TEST_P(UnstatedLengthTest, IsForwardedBeforeTheDeadlineInAPause) {
+  start(1);
+  const Client one = client();
+  const auto call = request(one);
+  call.raw(std::string("HTTP/1.1 200 OK\r\n") + GetParam().header + "\r\n" + piece("first"));
+  pass(milliseconds(kExpiresInMs / 4));
+  call.raw(piece("second"));
+  pass(milliseconds(kExpiresInMs));
+  call.raw(piece("third"));
+  finish(call);
+  ASSERT_TRUE(wait([&] { return one.answers() == 1; }));
+  EXPECT_EQ(one.answer(0).result_int(), 200U);
+  EXPECT_EQ(one.answer(0).body(), "firstsecondthird");
+}
+
+// An answer whose end is missing, as after a spoilt length, has a 5xx at the deadline and is not forwarded.
+TEST_P(UnstatedLengthTest, IsNotForwardedIfItComesAtOnceAndDoesNotEnd) {
+  start(1);
+  const Client one = client();
+  const auto call = request(one);
+  pass(milliseconds(kExpiresInMs * 2 / 3));
+  call.raw(std::string("HTTP/1.1 200 OK\r\n") + GetParam().header + "\r\n" + piece("first"));
+  ASSERT_TRUE(wait([&] { return one.answers() == 1; }));
+  EXPECT_EQ(one.answer(0).result_int() / 100, 5U);
+}
+
+// While there is time for a retry nothing is forwarded, so that an answer that breaks off is replaced.
+TEST_P(UnstatedLengthTest, IsRetriedIfItBreaksOffWhileThereIsTime) {
+  start(2);
+  const Client one = client();
+  const auto call = request(one, "consulta", 4 * kExpiresInMs);
+  call.raw(std::string("HTTP/1.1 200 OK\r\n") + GetParam().header + "\r\n");
+  for (int n = 0; n < 4; ++n) {
+    call.raw(piece(std::string(10'000, 'a')));
+    pass(milliseconds(kExpiresInMs / 4));
+  }
+  call.connection->socket.set_option(asio::socket_base::linger(true, 0));
+  call.drop();
+  ASSERT_TRUE(wait([&] { return arrived() == 2; }));
+  for (const auto& upstream : upstreams) {
+    for (const auto& received : upstream->requests) {
+      if (received.connection != call.connection) received.reply(200, "retried");
+    }
+  }
+  ASSERT_TRUE(wait([&] { return one.answers() == 1; }));
+  EXPECT_EQ(one.answer(0).result_int(), 200U);
+  EXPECT_EQ(one.answer(0).body(), "retried");
+}
+
+INSTANTIATE_TEST_SUITE_P(Forms, UnstatedLengthTest,
+                         testing::Values(Framing{"Chunked", "Transfer-Encoding: chunked\r\n", true},
+                                         Framing{"CloseDelimited", "Connection: close\r\n", false}),
+                         [](const auto& form) { return form.param.name; });
+
+// The same cause with a stated length over 64 KiB: the answer was cut off if its body began after the
+// deadline.
+TEST_F(SlowAnswerTest, ALargeAnswerPassesIfItsBodyBeginsLate) {
+  start(1);
+  const Client one = client();
+  const auto call = request(one);
+  const std::string body(100'000, 'a');
+  call.raw("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n");
+  pass(milliseconds(kExpiresInMs + 300));
+  call.raw(body);
+  ASSERT_TRUE(wait([&] { return one.answers() == 1; }));
+  EXPECT_EQ(one.answer(0).result_int(), 200U);
+  EXPECT_EQ(one.answer(0).body(), body);
+}
+
+// An answer of at most 64 KiB by its stated length is forwarded complete, or not at all.
+TEST_F(SlowAnswerTest, ASmallAnswerThatIsIncompleteAtTheDeadlineIsNotForwarded) {
+  start(1);
+  const Client one = client();
+  const auto call = request(one);
+  call.raw("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nhalf");
+  ASSERT_TRUE(wait([&] { return one.answers() == 1; }));
+  EXPECT_EQ(one.answer(0).result_int() / 100, 5U);
+}
+
+}  // namespace
+}  // namespace ivypost
--- a/tests/transfer_test.cpp
+++ b/tests/transfer_test.cpp
@@ -399,6 +399,23 @@
   EXPECT_EQ(upstreamSockets[0].got().find("Content-Length"), std::string::npos);
 }
 
+// Guards against an answer that is cut off: an upstream answers with over 64 KiB before it has the complete
+// request.
+TEST_F(TransferTest, ALargeAnswerThatBeginsAheadOfTheRequestsEndPasses) {
+  transfer();
+  const std::string body = pattern(6'000'000);
+  const std::string answer = pattern(100'000);
+  const RawSocket client = connect();
+  client.send(head(length(body.size())) + body.substr(0, body.size() / 2));
+  ASSERT_TRUE(wait([&] { return upstreamHas(0, body.substr(0, body.size() / 4)); }));
+  upstreamSockets[0].send("HTTP/1.1 200 OK\r\n" + length(answer.size()) + "\r\n" + answer);
+  ASSERT_TRUE(wait([&] { return upstreamSockets[0].sent(); }));
+  client.send(body.substr(body.size() / 2));
+  ASSERT_TRUE(wait([&] { return client.body().size() >= answer.size() || client.closed(); }));
+  EXPECT_EQ(client.body(), answer);
+  EXPECT_EQ(upstreamSockets[0].body(), body);
+}
+
 // The head of a chunked request is stored separately from its trailer, and must not be used for the next
 // request.
 TEST_F(TransferTest, ARequestBehindALargeBodyInChunksKeepsItsOwnHead) {
