--- a/src/sidecar/client_session.cpp
+++ b/src/sidecar/client_session.cpp
@@ -4,12 +4,16 @@
 
 #include <algorithm>
 #include <array>
+#include <bit>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
+#include <tuple>
 #include <utility>
 
 #include "admission/tcp_state.h"
 #include "framing.h"
+#include "last_response.h"
+#include "memory_plan.h"
 #include "network/nonblocking_io.h"
 
 namespace ivypost {
@@ -34,13 +38,14 @@
 // The longest wait for a client to acknowledge all of its last answer: a client that reads nothing must not
 // hold its slot or delay the exit of the process.
 constexpr milliseconds kMaxLingerTime{1000};
-// Bytes of input that are read ahead while a request waits for its answer, independently of the budget; with
-// budget, up to BodyBuffering::kMaxBuffered. Beyond that the client's close may be queued in the client's own
-// kernel, where it can't be seen: no attempt is begun for such a request, and the connection is polled for a
-// close at kClosePollInterval.
-constexpr std::size_t kUnbudgetedReadAhead = 16UL * 1024;
+// With budget, up to BodyBuffering::kMaxBuffered bytes of input are read ahead while a request waits for its
+// answer. With more than kMaxUnread in the kernel beyond that, the client's close may be queued in the
+// client's own kernel, where it can't be seen: no attempt is begun for such a request. The connection is
+// polled for a close at kClosePollInterval.
+constexpr std::size_t kMaxUnread = 16UL * 1024;
 constexpr milliseconds kClosePollInterval{100};
-constexpr std::size_t kReadSize = 4096;
+// Input is read ahead only while this fraction of the buffer is free: a read may move all of its contents.
+constexpr std::size_t kReadAheadDivisor = 4;
 // When the time for a request is up but unread data has been received, the request may be complete: it gets
 // this much more time.
 constexpr milliseconds kUnreadDataGrace{10};
@@ -59,8 +64,9 @@
       socket_(std::move(socket)),
       deadline_(resources.deadlines),
       closePoll_(resources.deadlines),
-      buffering_(resources.budget, kStreamingThreshold),
-      readAheadShare_(resources.budget),
+      buffering_(resources.budget),
+      bufferShare_(resources.budget),
+      headShare_(resources.budget),
       slot_(slot) {}
 
 void ClientSession::start() {
@@ -92,7 +98,7 @@
 bool ClientSession::isClientGone() {
   const bool left =
       admission::hasPeerClosed(socket_.native_handle()) || (!isUploading_ && !resumeReadAhead());
-  if (!left && (isUploading_ || !mayHaveUnread_)) return false;
+  if (!left && (isUploading_ || !mayHideClose())) return false;
   asio::post(io_, [self = shared_from_this(), id = request_, left] {
     if (self->state_ != State::Waiting || self->request_ != id) return;
     if (left) return self->close();
@@ -129,21 +135,12 @@
 void ClientSession::closeAtExit() {
   const bool owesAnswer = state_ == State::Reading || (state_ == State::Idle && !isIdle());
   error_code ignored;
-  if (owesAnswer) {
-    const std::string text = formatLastResponse(host_.rejection("refused: the sidecar stops"));
-    socket_.write_some(asio::buffer(text), ignored);
-  }
   if (responsePipe_) {
     socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     return close();
   }
-  socket_.shutdown(tcp::socket::shutdown_send, ignored);
-  std::array<char, 16UL * 1024> dropped;
-  error_code error;
-  for (std::size_t left = kMaxFinalDiscard; left > 0 && !error;) {
-    const std::size_t size = socket_.receive(asio::buffer(dropped), 0, error);
-    left -= std::min(left, size);
-  }
+  const Answer answer = host_.rejection("refused: the sidecar stops");
+  sendLastResponse(socket_, owesAnswer ? formatLastResponse(answer) : std::string());
   close();
 }
 
@@ -191,19 +188,53 @@
     if (error) return self->close();
     if (self->state_ == State::Idle) return self->read();
     if (self->mayReadAhead()) return self->waitForInput();
-    self->mayHaveUnread_ = true;
-    self->pollForClose();
+    self->stopReadingAhead();
   });
 }
 
-bool ClientSession::mayReadAhead() {
-  if (buffer_.size() < kUnbudgetedReadAhead) return true;
-  while (readAheadShare_.bytes() < buffer_.size()) {
-    if (buffer_.size() >= streaming::BodyBuffering::kMaxBuffered ||
-        !readAheadShare_.grow(streaming::BodyBuffering::kBudgetStep))
-      return false;
+std::size_t ClientSession::reserveRead(std::size_t most) {
+  std::size_t limit = ClientConnectionMemory::kReadBuffer + bufferShare_.bytes();
+  if (buffer_.size() >= limit) {
+    const std::size_t doubled = std::min(std::bit_ceil(buffer_.size() + 1), most);
+    if (doubled <= buffer_.size()) return 0;
+    if (!bufferShare_.growTo(doubled - ClientConnectionMemory::kReadBuffer)) return 0;
+    limit = doubled;
   }
-  return true;
+  buffer_.max_size(limit);  // otherwise the buffer may double its capacity beyond that
+  return std::min(limit - buffer_.size(), kStreamReadSize);
+}
+
+void ClientSession::growBuffer() {
+  const std::size_t limit = ClientConnectionMemory::kReadBuffer + bufferShare_.bytes();
+  const std::size_t doubled = std::min(2 * limit, kStreamReadSize);
+  if (doubled > limit) std::ignore = bufferShare_.growTo(doubled - ClientConnectionMemory::kReadBuffer);
+}
+
+void ClientSession::shrinkBuffer() {
+  if (buffer_.capacity() <= ClientConnectionMemory::kReadBuffer) return bufferShare_.release();
+  // Not for each part that is used up, since shrinking copies the rest.
+  if (buffer_.size() > buffer_.capacity() / kReadAheadDivisor) return;
+  buffer_.shrink_to_fit();
+  const std::size_t capacity = std::max(buffer_.capacity(), ClientConnectionMemory::kReadBuffer);
+  bufferShare_.shrinkTo(capacity - ClientConnectionMemory::kReadBuffer);
+}
+
+bool ClientSession::mayReadAhead() {
+  const std::size_t limit = ClientConnectionMemory::kReadBuffer + bufferShare_.bytes();
+  if (buffer_.size() <= limit - limit / kReadAheadDivisor) return true;
+  const std::size_t doubled = std::min(2 * limit, streaming::BodyBuffering::kMaxBuffered);
+  return doubled > limit && bufferShare_.growTo(doubled - ClientConnectionMemory::kReadBuffer);
+}
+
+void ClientSession::stopReadingAhead() {
+  mayHaveUnread_ = true;
+  pollForClose();
+}
+
+bool ClientSession::mayHideClose() {
+  if (!mayHaveUnread_) return false;
+  error_code error;
+  return socket_.available(error) > kMaxUnread || error;
 }
 
 bool ClientSession::resumeReadAhead() {
@@ -228,7 +259,7 @@
 
 error_code ClientSession::readAhead() {
   error_code error;
-  const std::size_t most = buffer_.size() < kUnbudgetedReadAhead ? kReadSize : kStreamReadSize;
+  const std::size_t most = reserveRead(streaming::BodyBuffering::kMaxBuffered);
   buffer_.commit(network::receiveSome(socket_, buffer_.prepare(most), error));
   return error;
 }
@@ -239,12 +270,30 @@
   waitForInput();
 }
 
+// A request keeps what it has taken from the byte budget as long as an attempt may need it, which may be
+// longer than its client does.
+void ClientSession::keepShares(ClientRequest& request) {
+  if (headShare_.bytes() + buffering_.share().bytes() == 0) return;
+  struct Kept {
+    Kept(std::shared_ptr<const Message> one, const streaming::ByteBudget& budget)
+        : message(std::move(one)), share(budget) {}
+    std::shared_ptr<const Message> message;
+    streaming::ByteBudget::Share share;
+  };
+  auto kept = std::make_shared<Kept>(std::move(request.message), budget_);
+  kept->share.takeFrom(headShare_);
+  kept->share.takeFrom(buffering_.share());
+  const Message* const message = kept->message.get();
+  request.message = {std::move(kept), message};
+}
+
 void ClientSession::beginWaiting(ClientRequest request) {
   state_ = State::Waiting;
   request_ = request.id;
   responseDeadline_ = request.deadline;
   arrivedAt_ = request.arrived;
   trace_ = request.trace;
+  keepShares(request);
   host_.openRequest(shared_from_this());
   if (!isUploading_) {
     waitForInput();
@@ -291,7 +340,8 @@
 
 void ClientSession::discard(std::size_t atMost) {
   buffer_.clear();
-  socket_.async_read_some(buffer_.prepare(4096),
+  shrinkBuffer();
+  socket_.async_read_some(buffer_.prepare(ClientConnectionMemory::kReadBuffer),
                           [self = shared_from_this(), atMost](error_code error, std::size_t size) {
                             if (self->state_ != State::HangingUp) return;
                             if (error) return self->close();
--- a/src/sidecar/client_session.h
+++ b/src/sidecar/client_session.h
@@ -101,9 +101,19 @@
   // Waits for a request, or for the client to close before it has its answer. `why`: the error of the
   // previous read, if any.
   void waitForInput(boost::system::error_code why = {});
+  // Bytes that may be read into the buffer, which then holds at most `most`; 0: the byte budget is used up.
+  std::size_t reserveRead(std::size_t most);
+  // Lets more be read at once, if the byte budget suffices.
+  void growBuffer();
+  // Returns what the buffer no longer needs to the byte budget.
+  void shrinkBuffer();
   // Whether more may be read while a request waits for its answer. The client's close is seen only after all
   // that it sent before has been read, so reading stops only at the memory budget.
   bool mayReadAhead();
+  // Stops reading, and polls for the client's close.
+  void stopReadingAhead();
+  // Whether so much is unread that a close behind it might not have been received.
+  bool mayHideClose();
   // Reads what has been received since reading ahead stopped. False if the client has left.
   bool resumeReadAhead();
   // Polls whether the client has left while its input is not read: a close behind unread data can't be
@@ -113,6 +123,8 @@
   // that sends more and then closes.
   boost::system::error_code readAhead();
   void resume();
+  // Has the request hold what was taken from the byte budget for it.
+  void keepShares(ClientRequest& request);
   // Registers the request as open and forwards it; from here on its answer is pending.
   void beginWaiting(ClientRequest request);
   // Answers the request shortly after its deadline if nothing else has: because of a late timer, an
@@ -130,13 +142,25 @@
   // The header is read separately from the body: Boost.Beast 1.74 does not report a length over the limit
   // when the body arrives together with the header, so such a body would be read without bound.
   void readHead(bool mayBeEmptyLine);
-  void readRestOfHead(bool mayBeEmptyLine);
+  void parseHead(bool mayBeEmptyLine);
+  // Takes what the head needs when it is parsed from the byte budget; false if that is used up.
+  bool reserveHead(std::size_t size);
+  void awaitHeadBudget(bool mayBeEmptyLine);
+  // `why`: the error of the previous read, if any.
+  void readRestOfHead(bool mayBeEmptyLine, boost::system::error_code why = {});
+  void onHeadReadable(bool mayBeEmptyLine, boost::system::error_code failed);
   void onHead(boost::system::error_code error, bool mayBeEmptyLine);
+  // Rejects a request that there is no memory for.
+  void rejectForMemory();
   // Sends 100 (Continue), for which the client waits before it sends the body.
   void sendContinue();
   void readBody();
   // Parses the part of the body that has been received.
   void parseBody();
+  // Reads more of a body that is buffered, or streams it.
+  void bufferBody();
+  void awaitBudget();
+  void recordReceived(std::size_t size);
   // Reads at most `most` bytes of the body. `why`: the error of the previous read, if any.
   void readBodyPart(std::size_t most, boost::system::error_code why = {});
   // Forwards the request while its body is still being received.
@@ -161,6 +185,8 @@
   bool hasNextRequest();
   // Writes the remainder of the answer. `why`: the error that interrupted the previous write.
   void writeRest(boost::system::error_code why);
+  // Keeps what the kernel has not accepted of an answer.
+  void keepUnwritten(std::size_t sent);
   void writeStream(ResponseHead head, std::shared_ptr<streaming::Pipe> body);
   void writeStreamed();
   void waitToWriteStreamed();
@@ -175,13 +201,15 @@
   Deadlines::Deadline closePoll_;  // the next poll for the client's close
   boost::beast::flat_buffer buffer_;
   std::optional<boost::beast::http::request_parser<streaming::PiecesBody>> parser_;
-  std::optional<streaming::StallTimer> bodyStallTimer_;  // of the request's body
-  streaming::BodyBuffering buffering_;                   // of request bodies
-  streaming::ByteBudget::Share readAheadShare_;  // budget held by input read ahead of an answer or an attempt
-  std::size_t emptyUploadCapacity_ = 0;          // capacity in bytes of the upload's pipe when it is empty
-  std::shared_ptr<Upload> upload_;               // of a request whose body streams
-  std::shared_ptr<streaming::Pipe> responsePipe_;  // the body of an answer that streams
+  std::optional<streaming::StallTimer> bodyStallTimer_;          // of the request's body
+  streaming::BodyBuffering buffering_;                           // of request bodies
+  streaming::ByteBudget::Share bufferShare_;                     // budget held by the buffer
+  streaming::ByteBudget::Share headShare_;                       // budget held by the parsed head
+  std::shared_ptr<streaming::ByteBudget::Share> responseShare_;  // budget held by the answer's body
+  std::shared_ptr<Upload> upload_;                               // of a request whose body streams
+  std::shared_ptr<streaming::Pipe> responsePipe_;                // the body of an answer that streams
   Micros expiresIn_ = 0;  // the client's time from the last byte of a streamed request body
+  std::optional<Clock::time_point> budgetWaitSince_;  // since when a body is or was unread for want of budget
   std::optional<Micros> backpressureSince_;  // since when backpressure has stopped reading the upload
   unsigned httpVersion_ = 11;                // of the request, as Boost.Beast writes versions
   bool isUploading_ = false, isReadingBody_ = false;
@@ -199,7 +227,8 @@
   State state_ = State::Idle;
   bool keepAlive_ = true;
   bool isWaitingForInput_ = false;
-  bool isBufferInUse_ = false;  // a pending operation reads a head into the buffer, or writes a 100
+  bool hasFilledBuffer_ = false;  // the last read of a body took all that it could
+  bool isBufferInUse_ = false;    // a pending operation reads a head into the buffer, or writes a 100
   bool mayHaveUnread_ = false;  // reading ahead has stopped: unread data, and a close after it, may be queued
 };
 
--- a/src/sidecar/client_session_reading.cpp
+++ b/src/sidecar/client_session_reading.cpp
@@ -7,6 +7,7 @@
 #include "admission/tcp_state.h"
 #include "client_session.h"
 #include "framing.h"
+#include "memory_plan.h"
 #include "network/nonblocking_io.h"
 
 namespace ivypost {
@@ -20,6 +21,13 @@
 
 // The kernel measures times in ticks of at most 10 ms, so a measured time below this may really be 0.
 constexpr milliseconds kKernelTick{10};
+// The most bytes that are buffered of a head, or of a chunk's header: with fewer the parser may not have seen
+// yet that it is over the limit.
+constexpr std::size_t kMaxBufferedHead = kMaxHeader + ClientConnectionMemory::kReadBuffer;
+// A body whose buffer finds no budget waits for it, and is streamed after this time: those that have budget
+// may wait for their clients.
+constexpr milliseconds kMaxBudgetWait{2000};
+constexpr milliseconds kBudgetPollInterval{20};
 // The time for a request head while requests are rejected because of a drain.
 constexpr milliseconds kMaxHeadTimeInDrain{300};
 
@@ -28,6 +36,36 @@
   return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
 }
 
+// The bytes that a head takes when it is parsed, as they count for ClientConnectionMemory::kHead.
+std::size_t costOfHead(std::string_view text) {
+  const auto lines = static_cast<std::size_t>(std::count(text.begin(), text.end(), '\n'));
+  return lines * ClientConnectionMemory::kHeaderOverhead +
+         text.size() * ClientConnectionMemory::kCopiesOfHead;
+}
+
+// Where the first line of a text ends; its size if it is incomplete.
+std::size_t endOfLine(std::string_view text) {
+  const std::size_t end = text.find('\n');
+  return end == std::string_view::npos ? text.size() : end + 1;
+}
+
+// Where the headers of a received head end; none: they are incomplete. `hasStartLine`: the text begins behind
+// the start line.
+std::optional<std::size_t> endOfHead(std::string_view text, bool hasStartLine) {
+  if (hasStartLine && text.substr(0, 2) == "\r\n") return 0;
+  const std::size_t end = text.find("\r\n\r\n");
+  return end == std::string_view::npos ? std::nullopt : std::optional<std::size_t>(end);
+}
+
+// Gives a text this capacity exactly; std::string::reserve() may double it instead.
+void reallocate(std::string& text, std::size_t capacity) {
+  if (capacity == text.capacity()) return;
+  std::string other;
+  other.reserve(capacity);
+  other.append(text);
+  text = std::move(other);
+}
+
 }  // namespace
 
 void ClientSession::read() {
@@ -47,27 +85,68 @@
   parser_.emplace();
   parser_->header_limit(kMaxHeader);
   parser_->body_limit(kMaxBody);
+  budgetWaitSince_.reset();
   // Usually the complete head has been received already.
-  error_code error;
-  if (buffer_.size() > 0) buffer_.consume(parser_->put(buffer_.data(), error));
-  if (error != http::error::need_more && (error || parser_->is_header_done()))
-    return onHead(error, mayBeEmptyLine);
+  if (buffer_.size() > 0) return parseHead(mayBeEmptyLine);
   readRestOfHead(mayBeEmptyLine);
 }
 
-void ClientSession::readRestOfHead(bool mayBeEmptyLine) {
+// The parsed headers take many times the memory of their text, so that they are parsed once all have been
+// received: a client that stops before that holds the text alone.
+void ClientSession::parseHead(bool mayBeEmptyLine) {
+  const auto end = endOfHead(received(), parser_->got_some());
+  if (end && !reserveHead(*end)) return awaitHeadBudget(mayBeEmptyLine);
+  std::size_t parsed = buffer_.size();
+  if (!end && parsed <= kMaxHeader) parsed = parser_->got_some() ? 0 : endOfLine(received());
+  error_code error = http::error::need_more;
+  if (parsed > 0) buffer_.consume(parser_->put(asio::buffer(buffer_.data(), parsed), error));
+  if (error && error != http::error::need_more) return onHead(error, mayBeEmptyLine);
+  if (parser_->is_header_done()) return onHead({}, mayBeEmptyLine);
+  readRestOfHead(mayBeEmptyLine);
+}
+
+bool ClientSession::reserveHead(std::size_t size) {
+  const std::size_t cost = costOfHead(received().substr(0, size));
+  return cost <= ClientConnectionMemory::kHead || headShare_.growTo(cost - ClientConnectionMemory::kHead);
+}
+
+// Leaves a complete head unparsed until others have returned enough to the byte budget.
+void ClientSession::awaitHeadBudget(bool mayBeEmptyLine) {
+  const auto time = Clock::now();
+  if (!budgetWaitSince_) budgetWaitSince_ = time;
+  if (time - *budgetWaitSince_ >= kMaxBudgetWait) return rejectForMemory();
+  if (admission::hasPeerClosed(socket_.native_handle())) return close();
+  deadline_.set(time + kBudgetPollInterval, [self = shared_from_this(), mayBeEmptyLine] {
+    if (self->state_ != State::Reading) return;
+    self->setDeadline(Clock::now() + kMaxRequestTime);
+    self->parseHead(mayBeEmptyLine);
+  });
+}
+
+void ClientSession::readRestOfHead(bool mayBeEmptyLine, error_code why) {
   isBufferInUse_ = true;
-  http::async_read_header(socket_, buffer_, *parser_,
-                          [self = shared_from_this(), mayBeEmptyLine](error_code failed, std::size_t) {
-                            self->isBufferInUse_ = false;
-                            if (self->state_ != State::Reading) return;
-                            if (!network::isShortage(failed)) return self->onHead(failed, mayBeEmptyLine);
-                            network::waitToRetry(self->socket_, tcp::socket::wait_read, failed,
-                                                 [self, mayBeEmptyLine](error_code) {
-                                                   if (self->state_ == State::Reading)
-                                                     self->readRestOfHead(mayBeEmptyLine);
-                                                 });
-                          });
+  network::waitToRetry(socket_, tcp::socket::wait_read, why,
+                       [self = shared_from_this(), mayBeEmptyLine](error_code failed) {
+                         self->isBufferInUse_ = false;
+                         if (self->state_ == State::Reading) self->onHeadReadable(mayBeEmptyLine, failed);
+                       });
+}
+
+void ClientSession::onHeadReadable(bool mayBeEmptyLine, error_code failed) {
+  if (failed) return onHead(failed, mayBeEmptyLine);
+  const std::size_t most = reserveRead(kMaxBufferedHead);
+  if (most == 0) return rejectForMemory();
+  error_code error;
+  buffer_.commit(network::receiveSome(socket_, buffer_.prepare(most), error));
+  if (network::isTransient(error)) return readRestOfHead(mayBeEmptyLine, error);
+  if (error) return onHead(error, mayBeEmptyLine);
+  parseHead(mayBeEmptyLine);
+}
+
+// A 503 promises that the request has not run, so that its client can try again.
+void ClientSession::rejectForMemory() {
+  keepAlive_ = false;
+  write(host_.rejection("refused: out of memory"));
 }
 
 void ClientSession::onHead(error_code error, bool mayBeEmptyLine) {
@@ -78,6 +157,10 @@
   }
   if (error) return onRead(error);
   httpVersion_ = parser_->get().version();
+  shrinkBuffer();
+  // The head of a chunked request is stored once more, apart from its trailer.
+  if (parser_->chunked() && headShare_.bytes() > 0 && !headShare_.grow(headShare_.bytes()))
+    return rejectForMemory();
   if (const auto syntaxError = findSyntaxError(parser_->get())) {
     keepAlive_ = false;
     return write(textAnswer(syntaxError->status, syntaxError->reason));
@@ -112,6 +195,7 @@
   if (parser_->chunked()) headersAheadOfBody_ = parser_->get().base();
   parser_->eager(true);
   bodyStallTimer_.emplace(Clock::now());
+  budgetWaitSince_.reset();
   bodyStallTimer_->received(buffer_.size(), Clock::now());
   parseBody();
 }
@@ -125,15 +209,48 @@
   if (!error && !parser_->is_done() && buffer_.size() > kMaxHeader) error = http::error::bad_chunk_extension;
   if (isUploading_) return onUploadPiece(error);
   if (error || parser_->is_done()) return onBody(error);
-  const auto capacity =
-      buffering_.capacityFor(parser_->get().body().size(), toStdOptional(parser_->content_length()));
-  if (!capacity) return beginUpload();
-  parser_->get().body().reserve(*capacity);
+  if (!hasFilledBuffer_) shrinkBuffer();
+  bufferBody();
+}
+
+void ClientSession::bufferBody() {
+  auto& body = parser_->get().body();
+  const auto length = toStdOptional(parser_->content_length());
+  if (streaming::BodyBuffering::mustStream(body.size(), length)) return beginUpload();
+  const auto capacity = buffering_.capacityFor(body.size(), length);
+  if (!capacity) return awaitBudget();
+  reallocate(body, *capacity);
   setDeadline(bodyStallTimer_->deadline());
-  readBodyPart(kStreamReadSize);
+  readBodyPart(*capacity - body.size());
+}
+
+// Leaves the rest of a body unread until others have returned enough to the byte budget. A body that would be
+// streamed at once instead takes the time of an upstream for as long as its client writes.
+void ClientSession::awaitBudget() {
+  const auto time = Clock::now();
+  if (!budgetWaitSince_) {
+    budgetWaitSince_ = time;
+    auto& body = parser_->get().body();
+    reallocate(body, body.size());
+    buffering_.keep(body.size());
+  }
+  if (time - *budgetWaitSince_ >= kMaxBudgetWait) return beginUpload();
+  if (admission::hasPeerClosed(socket_.native_handle())) return close();
+  // A client that has sent nothing more isn't held up by the sidecar.
+  const bool isHeldUp = peek() != asio::error::would_block;
+  if (!isHeldUp && time >= bodyStallTimer_->deadline()) return close();
+  const bool isSending = admission::timeSinceLastData(socket_.native_handle()) < kBudgetPollInterval;
+  if (isHeldUp && isSending) bodyStallTimer_->extendBy(kBudgetPollInterval);
+  deadline_.set(time + kBudgetPollInterval, [self = shared_from_this()] {
+    if (self->state_ == State::Reading) self->bufferBody();
+  });
 }
 
 void ClientSession::readBodyPart(std::size_t most, error_code why) {
+  if (hasFilledBuffer_) growBuffer();
+  const std::size_t room = reserveRead(kMaxBufferedHead);
+  if (room == 0) return isUploading_ ? close() : rejectForMemory();
+  most = std::min(most, room);
   if (std::exchange(isReadingBody_, true)) return;
   network::waitToRetry(socket_, tcp::socket::wait_read, why,
                        [self = shared_from_this(), most](error_code failed) {
@@ -144,22 +261,31 @@
                          if (!error)
                            size = network::receiveSome(self->socket_, self->buffer_.prepare(most), error);
                          self->buffer_.commit(size);
+                         self->hasFilledBuffer_ = size == most;
                          if (network::isTransient(error)) return self->readBodyPart(most, error);
                          if (error) return self->close();
-                         self->bodyStallTimer_->received(size, Clock::now());
+                         self->recordReceived(size);
                          self->parseBody();
                        });
 }
 
+// While a body waited for the byte budget, its client may have stopped: the last bytes count from their
+// arrival.
+void ClientSession::recordReceived(std::size_t size) {
+  milliseconds waited(0);
+  if (budgetWaitSince_) waited = unreadTime();
+  if (!hasFilledBuffer_) budgetWaitSince_.reset();
+  bodyStallTimer_->received(size, Clock::now() - waited);
+}
+
 void ClientSession::beginUpload() {
   auto& read = parser_->get();
-  // The message gets its own copy of the head, since the parser still needs it; saved headers are moved out,
-  // so that a later request does not get them.
+  // The parser needs the head no longer; saved headers are moved out, so that a later request does not get
+  // them.
   Message message(headersAheadOfBody_ ? std::move(*std::exchange(headersAheadOfBody_, std::nullopt))
-                                      : read.base());
+                                      : std::move(read.base()));
   keepAlive_ = parser_->keep_alive();
   auto upload = std::make_shared<Upload>(budget_);
-  emptyUploadCapacity_ = upload->pipe.freeCapacity();
   if (const auto length = parser_->content_length()) upload->length = *length;
   auto checked = host_.validateRequest(std::move(message), milliseconds(0));
   if (auto* answer = std::get_if<Answer>(&checked)) {
@@ -180,9 +306,9 @@
   upload->pipe.onCapacity = [weak = weak_from_this()] {
     if (const auto self = weak.lock()) asio::post(self->io_, [self] { self->onPipeCapacity(); });
   };
-  upload->pipe.push(read.body());
+  upload->pipe.adopt(std::move(read.body()), buffering_.share());
   read.body() = {};
-  buffering_.release();
+  read.body().reserve(upload->pipe.pieceSize());
   request.upload = std::move(upload);
   beginWaiting(std::move(request));
   if (isUploading_) continueUpload();
@@ -210,11 +336,7 @@
 
 void ClientSession::continueUpload() {
   std::size_t capacity = upload_->pipe.freeCapacity();
-  if (capacity > 0) {
-    readAheadShare_.release();
-  } else if (mayReadBeyondPipe()) {
-    capacity = kStreamReadSize;
-  }
+  if (capacity == 0 && mayReadBeyondPipe()) capacity = upload_->pipe.freeCapacity();
   if (capacity == 0) {
     // Backpressure stops reading, so the stall timer of the client's body is suspended.
     deadline_.cancel();
@@ -226,18 +348,11 @@
     bodyStallTimer_->extendBy(
         std::chrono::microseconds(now() - *std::exchange(backpressureSince_, std::nullopt)));
   setDeadline(bodyStallTimer_->deadline());
-  readBodyPart(std::min(capacity, kStreamReadSize));
+  readBodyPart(std::min(capacity, upload_->pipe.pieceSize()));
 }
 
 bool ClientSession::mayReadBeyondPipe() {
-  if (upload_->pipe.forwardedBytes() > 0) return false;
-  const std::size_t buffered = upload_->pipe.front().size();
-  // Bytes up to the pipe's own capacity are charged to the budget by the pipe.
-  while (readAheadShare_.bytes() + emptyUploadCapacity_ <= buffered) {
-    if (buffered >= streaming::BodyBuffering::kMaxBuffered) return false;
-    if (!readAheadShare_.grow(streaming::BodyBuffering::kBudgetStep)) return false;
-  }
-  return true;
+  return upload_->pipe.forwardedBytes() == 0 && upload_->pipe.extend(upload_->pipe.pieceSize());
 }
 
 void ClientSession::onPipeCapacity() {
--- a/src/sidecar/client_session_writing.cpp
+++ b/src/sidecar/client_session_writing.cpp
@@ -24,8 +24,6 @@
 // The pause before reading from a client again after a 4xx answer: a client that repeats a faulty request at
 // full speed must not take the processor from the others.
 constexpr milliseconds kErrorPause{100};
-// Bytes of capacity up to which an empty read buffer is kept for the connection's next request.
-constexpr std::size_t kMaxKeptBuffer = 4096;
 // A client that accepts no byte of a streamed answer for this time counts as stalled, and is closed.
 constexpr milliseconds kClientStallTime{10'000};
 
@@ -50,6 +48,7 @@
   if (answer.stream) return writeStream(std::move(head), std::move(answer.stream));
   responseHead_ = std::move(head.text);
   responseBody_ = std::move(answer.body);
+  responseShare_ = std::move(answer.bodyShare);
   // Nearly always the kernel accepts the complete answer at once.
   const std::array<asio::const_buffer, 2> parts = {asio::buffer(responseHead_), asio::buffer(responseBody_)};
   error_code error;
@@ -60,13 +59,21 @@
     asio::post(io_, [self = shared_from_this()] { self->close(); });
     return;
   }
-  responseHead_ += responseBody_;
-  responseHead_.erase(0, sent);
+  keepUnwritten(sent);
   setDeadline(
       std::min(Clock::now() + kResponseTime, std::max(responseDeadline_, Clock::now() + kLateResponseTime)));
   writeRest(error);
 }
 
+void ClientSession::keepUnwritten(std::size_t sent) {
+  const std::size_t ofHead = std::min(sent, responseHead_.size());
+  std::string rest;
+  rest.reserve(responseHead_.size() + responseBody_.size() - sent);
+  rest.append(responseHead_, ofHead).append(responseBody_, sent - ofHead);
+  responseHead_ = std::move(rest);
+  responseBody_ = {};
+}
+
 void ClientSession::writeRest(error_code why) {
   network::waitToRetry(socket_, tcp::socket::wait_write, why, [self = shared_from_this()](error_code failed) {
     if (self->state_ != State::Writing) return;
@@ -131,15 +138,15 @@
   deadline_.cancel();
   closePoll_.cancel();
   parser_.reset();
+  responseHead_ = {};
   responseBody_ = {};
+  responseShare_.reset();
   upload_.reset();
   buffering_.release();
+  headShare_.release();
+  shrinkBuffer();
   responseDeadline_ = Clock::time_point::max();
   if (closesAfterResponse_) return hangUp();
-  if (buffer_.size() == 0) {
-    if (buffer_.capacity() > kMaxKeptBuffer) buffer_.shrink_to_fit();
-    readAheadShare_.release();
-  }
   state_ = State::Idle;
   connectionLimiter_.beginIdle(slot_, now());
   if (isClientError_) return deadline_.set(Clock::now() + kErrorPause, [this] { resume(); });
--- a/src/sidecar/config.cpp
+++ b/src/sidecar/config.cpp
@@ -27,9 +27,6 @@
 // Descriptors that the operators' console needs, if it is configured.
 constexpr double kConsoleSockets = admin::AdminServer::kMaxConnections + 1;
 constexpr double kPoolFraction = 0.9;
-// The fraction of the memory for bodies in transit. Growing strings hold up to twice their contents; the
-// minimum of each pipe, the program and its tables need the rest.
-constexpr double kRelayMemoryFraction = 0.35;
 constexpr double kMaxMemoryMb = 1e6;
 constexpr double kBytesPerMb = 1e6;
 // The minimum of Config::poolSockets() if the operators' console is configured: one client connection and one
@@ -158,9 +155,9 @@
   return std::max(kMinPoolSockets, std::min(kPoolFraction * all, all - kReservedSockets - kConsoleSockets));
 }
 
-std::size_t Config::relayBytes() const {
-  return static_cast<std::size_t>(kRelayMemoryFraction * std::min(memoryMb, kMaxMemoryMb) * kBytesPerMb /
-                                  (listener ? kProcessesDuringReplacement : 1));
+MemoryPlan Config::memoryPlan() const {
+  const double memory = std::min(memoryMb, kMaxMemoryMb) * kBytesPerMb;
+  return planMemory({memory / (listener ? kProcessesDuringReplacement : 1), poolSockets()});
 }
 
 Config parseConfig(const std::string& text) {
--- a/src/sidecar/config.h
+++ b/src/sidecar/config.h
@@ -12,6 +12,7 @@
 
 #include "discovery/endpoint_list.h"
 #include "gossip/message.h"
+#include "memory_plan.h"
 #include "settings/format_error.h"
 #include "settings/site.h"
 
@@ -46,8 +47,9 @@
   /// process itself and the console. Half as many if this process replaces another one, which keeps its
   /// descriptors until it exits.
   [[nodiscard]] double poolSockets() const;
-  /// Bytes that bodies in transit may hold together; half as many if this process replaces another one.
-  [[nodiscard]] std::size_t relayBytes() const;
+  /// The bounds of connections and buffered bytes; of half of the limits if this process replaces another
+  /// one.
+  [[nodiscard]] MemoryPlan memoryPlan() const;
 };
 
 /// Reads the environment and the file that GW_CONFIG names. Throws settings::FormatError with a message of
--- a/src/sidecar/framing.h
+++ b/src/sidecar/framing.h
@@ -10,11 +10,13 @@
 #include <cstdint>
 #include <string_view>
 
+#include "streaming/body_buffering.h"
+
 namespace ivypost {
 
 /// Bytes. Bodies up to this size are always read completely before they are forwarded; a larger answer is
 /// streamed, a larger request body is streamed if the memory budget does not allow buffering it.
-constexpr std::size_t kStreamingThreshold = 64UL * 1024;
+constexpr std::size_t kStreamingThreshold = streaming::BodyBuffering::kStreamingThreshold;
 /// The largest body in bytes that the platform's protocol allows, of requests and answers.
 constexpr std::size_t kMaxBody = 32UL * 1024 * 1024;
 /// The largest start line with headers in bytes, of requests and answers. This limit is the sidecar's own.
--- a/src/sidecar/response_writer.h
+++ b/src/sidecar/response_writer.h
@@ -28,6 +28,8 @@
   Micros retryAfter = 0;
   /// The body if it is streamed, in place of `body`; null otherwise.
   std::shared_ptr<streaming::Pipe> stream;
+  /// The bytes that `body` has taken from the byte budget; null: none.
+  std::shared_ptr<streaming::ByteBudget::Share> bodyShare;
   /// Bytes of the streamed body; none: unknown.
   std::optional<std::uint64_t> length;
 };
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -20,8 +20,6 @@
 
 // The interval between sweeps of the connections while the server drains or stops.
 constexpr milliseconds kSweepInterval{20};
-// The fraction of the descriptors for client and upstream connections that client connections may hold.
-constexpr double kClientFraction = 0.6112;
 
 admission::ConnectionLimiterSettings connectionLimiterSettings(const Config& config,
                                                                const configuration::OperatorFile& file) {
@@ -29,8 +27,7 @@
   settings.keepAnyFraction = file.connectionLimit.keepAnyFraction;
   settings.keepReusedFraction = file.connectionLimit.keepReusedFraction;
   settings.activeFraction = file.connectionLimit.activeFraction;
-  const double connections = kClientFraction * config.poolSockets();
-  settings.maxConnections = std::max<std::size_t>(1, static_cast<std::size_t>(connections));
+  settings.maxConnections = config.memoryPlan().clientConnections;
   return settings;
 }
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -49,7 +49,7 @@
       config_(std::move(config)),
       endpoints_(config_.site, unixNow(), now(), config_.console.has_value()),
       balancer_(config_.site.settings, config_.seed, now()),
-      budget_(config_.relayBytes()),
+      budget_(config_.memoryPlan().byteBudget),
       pool_(io, config_, budget_,
             {[this](AttemptId id) { onAttemptWritten(id); },
              [this](AttemptEnd end) { onAttemptEnded(std::move(end)); },
@@ -193,6 +193,7 @@
     Answer answer;
     answer.status = 200;
     answer.body = std::move(end.body);
+    answer.bodyShare = std::move(end.bodyShare);
     if (!end.contentType.empty()) answer.contentType = std::move(end.contentType);
     executor_.finish(end.id.request, std::move(answer));
   }
--- a/src/sidecar/stream_writer.h
+++ b/src/sidecar/stream_writer.h
@@ -18,13 +18,17 @@
 namespace ivypost {
 
 /// Bytes that one read takes of a body that is streamed.
-constexpr std::size_t kStreamReadSize = 16UL * 1024;
+constexpr std::size_t kStreamReadSize = streaming::Pipe::kMaxPieceSize;
 
 /// Writes a message with a streamed body: the head, then the contents of a pipe, in chunks (RFC 9112, 7.1) or
-/// unchanged. Copies one piece at a time, so that its memory is bounded. Does not block; the caller waits
-/// between steps.
+/// unchanged. Copies one piece at a time, and holds nothing after the message, so that its memory is bounded
+/// by the head or by one piece of the pipe and kMaxChunkFraming. Does not block; the caller waits between
+/// steps.
 class StreamWriter {
  public:
+  /// The most bytes that are added to a piece to make a chunk of it.
+  static constexpr std::size_t kMaxChunkFraming = 32;
+
   /// The result of a step.
   enum class Step {
     Blocked,  ///< the socket accepts no more now, or the limit per turn is reached: call again when writable
@@ -52,6 +56,7 @@
         text_.clear();
         writtenBytes_ = 0;
         if (!nextPiece(pipe)) {
+          text_ = {};
           if (pipe.hasFailed()) return Step::Failed;
           return pipe.isComplete() ? Step::Done : Step::Starved;
         }
@@ -73,20 +78,25 @@
   }
 
  private:
-  // Bytes that are copied from the pipe at once, and bytes after which a step ends its turn of the event
-  // loop.
-  static constexpr std::size_t kMaxPieceSize = 16UL * 1024;
+  // Bytes after which a step ends its turn of the event loop.
   static constexpr std::size_t kMaxBytesPerTurn = 256UL * 1024;
 
+  static constexpr std::size_t kMaxChunkSizeDigits = 16;
+
   bool nextPiece(streaming::Pipe& pipe) {
-    const std::string_view piece = pipe.front().substr(0, kMaxPieceSize);
+    const std::string_view piece = pipe.front().substr(0, pipe.pieceSize());
     if (piece.empty()) {
       if (!isChunked_ || !pipe.isComplete() || std::exchange(hasLastChunk_, true)) return false;
       text_ = "0\r\n\r\n";
       return true;
     }
+    // A new string, since reserve() may double the capacity instead.
+    if (text_.capacity() < piece.size() + kMaxChunkFraming) {
+      text_ = {};
+      text_.reserve(piece.size() + kMaxChunkFraming);
+    }
     if (isChunked_) {
-      std::array<char, 16> size{};
+      std::array<char, kMaxChunkSizeDigits> size{};
       auto* const end = std::to_chars(size.data(), size.data() + size.size(), piece.size(), 16).ptr;
       text_.append(size.data(), end).append("\r\n").append(piece).append("\r\n");
     } else {
--- a/src/sidecar/upstream/answer_parser.cpp
+++ b/src/sidecar/upstream/answer_parser.cpp
@@ -1,15 +1,19 @@
 // Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
 #include "upstream/answer_parser.h"
 
+#include <algorithm>
+#include <bit>
 #include <boost/beast/http.hpp>
+#include <utility>
 
 #include "framing.h"
-#include "stream_writer.h"
+#include "memory_plan.h"
 #include "util/fnv1a.h"
 
 namespace ivypost {
 namespace {
 
+namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = beast::http;
 using balancer::Outcome;
@@ -23,12 +27,52 @@
 
 void AnswerParser::beginHead() {
   parser_.emplace();
+  headCost_ = 0;
   parser_->header_limit(kMaxHeader);
   parser_->body_limit(kMaxBody);
   fingerprint_ = util::kFnv1aOffsetBasis;
   fingerprintBytes_ = 0;
 }
 
+void AnswerParser::clear() {
+  parser_.reset();
+  headCost_ = 0;
+  if (buffer_.capacity() > UpstreamConnectionMemory::kReadSize) buffer_.shrink_to_fit();
+}
+
+// ---- Memory -----------------------------------------------------------------------------------------------
+
+std::size_t AnswerParser::bufferCapacityFor(std::size_t size) const {
+  const std::size_t needed = buffer_.size() + size;
+  return needed <= buffer_.capacity() ? buffer_.capacity() : std::bit_ceil(needed);
+}
+
+std::size_t AnswerParser::bodyCapacityFor(std::size_t size) const {
+  if (!parser_->is_header_done()) return 0;
+  const std::size_t needed = body().size() + buffer_.size() + size;
+  if (needed <= body().capacity()) return body().capacity();
+  // A short body of a stated length is allocated once.
+  if (const auto stated = length(); stated && *stated <= kStreamingThreshold)
+    return std::max(body().capacity(), static_cast<std::size_t>(*stated));
+  return std::max(std::bit_ceil(needed), UpstreamConnectionMemory::kBody);
+}
+
+AnswerParser::Memory AnswerParser::memoryFor(std::size_t size) const {
+  return {bufferCapacityFor(size) + headCost_, bodyCapacityFor(size)};
+}
+
+asio::mutable_buffer AnswerParser::prepare(std::size_t size) {
+  if (const std::size_t capacity = bodyCapacityFor(size); capacity > body().capacity()) {
+    // A new string, since reserve() may double the capacity instead.
+    std::string grown;
+    grown.reserve(capacity);
+    grown.append(body());
+    body() = std::move(grown);
+  }
+  buffer_.max_size(bufferCapacityFor(size));  // otherwise the buffer may double its capacity beyond that
+  return buffer_.prepare(size);
+}
+
 void AnswerParser::extendFingerprint(std::string_view bytes) {
   const std::string_view covered = bytes.substr(0, kFingerprintSize - fingerprintBytes_);
   fingerprint_ = util::fnv1a(covered, fingerprint_);
@@ -66,6 +110,10 @@
   if (!hasUnambiguousFraming(answer)) return false;
   if (const auto stated = length(); stated && *stated > kMaxBody) return false;
   parser_->eager(true);
+  for (const auto& field : answer) {
+    headCost_ += ClientConnectionMemory::kHeaderOverhead;
+    headCost_ += field.name_string().size() + field.value().size();
+  }
   return true;
 }
 
@@ -76,7 +124,7 @@
 }
 
 bool AnswerParser::hasTooMuchUnparsed() const {
-  return buffer_.size() > kMaxHeader + kStreamReadSize;
+  return buffer_.size() > kMaxHeader;
 }
 
 Outcome AnswerParser::outcome() const {
--- a/src/sidecar/upstream/answer_parser.h
+++ b/src/sidecar/upstream/answer_parser.h
@@ -35,8 +35,18 @@
   /// Prepares for the next answer. Bytes that are already buffered belong to that answer.
   void begin();
 
-  /// Returns a writable buffer of `size` bytes; valid until the next call that is not const.
-  [[nodiscard]] boost::asio::mutable_buffer prepare(std::size_t size) { return buffer_.prepare(size); }
+  /// The bytes of memory that a received answer takes.
+  struct Memory {
+    std::size_t bufferAndHead = 0;  ///< what is not parsed yet, and the parsed head
+    std::size_t body = 0;           ///< what has been parsed of the body
+  };
+  /// The memory that this answer takes after another `size` bytes have been prepared and parsed.
+  [[nodiscard]] Memory memoryFor(std::size_t size) const;
+  /// Returns a writable buffer of `size` bytes; valid until the next call that is not const. Takes no more
+  /// memory than memoryFor(size), and the parsing of these bytes neither.
+  [[nodiscard]] boost::asio::mutable_buffer prepare(std::size_t size);
+  /// Frees the memory of the last answer, except for a small buffer. begin() must be called next.
+  void clear();
   /// Appends the first `size` bytes of the prepared buffer to the bytes to be parsed.
   void commit(std::size_t size) { buffer_.commit(size); }
   /// Parses the buffered bytes.
@@ -55,8 +65,8 @@
   /// \return false if the answer is still incomplete.
   [[nodiscard]] bool end();
 
-  /// Whether bytes are buffered that parse() has not used, such as those behind a complete answer.
-  [[nodiscard]] bool hasUnparsed() const { return buffer_.size() > 0; }
+  /// The bytes that are buffered and that parse() has not used, such as those behind a complete answer.
+  [[nodiscard]] std::size_t unparsed() const { return buffer_.size(); }
   /// A hash of the first kFingerprintSize bytes of the final answer, as received. Two answers with different
   /// fingerprints are different; the opposite does not hold.
   [[nodiscard]] std::uint64_t fingerprint() const { return fingerprint_; }
@@ -68,8 +78,8 @@
   [[nodiscard]] bool hasHead() const { return parser_->is_header_done(); }
   /// Whether the answer has been parsed to its end.
   [[nodiscard]] bool isComplete() const { return parser_->is_done(); }
-  /// Whether more than kMaxHeader + kStreamReadSize bytes are buffered without being parsed, which is more
-  /// than the header of a chunk may take.
+  /// Whether more than kMaxHeader bytes are buffered without being parsed, which is more than the header of a
+  /// chunk may take.
   [[nodiscard]] bool hasTooMuchUnparsed() const;
   /// Whether the connection may be reused for another request: both sides keep it alive, and no bytes follow
   /// the answer.
@@ -98,10 +108,13 @@
   void beginHead();
   [[nodiscard]] bool acceptHead();
   void extendFingerprint(std::string_view bytes);
+  [[nodiscard]] std::size_t bufferCapacityFor(std::size_t size) const;
+  [[nodiscard]] std::size_t bodyCapacityFor(std::size_t size) const;
 
   boost::beast::flat_buffer buffer_;  // bytes that are not parsed yet
   std::optional<Parser> parser_;      // empty before the first begin()
   int informational_ = 0;             // informational answers before the final one so far
+  std::size_t headCost_ = 0;          // bytes of memory that the parsed head takes
   std::uint64_t fingerprint_ = 0;
   std::size_t fingerprintBytes_ = 0;  // covered by fingerprint_ so far
 };
--- a/src/sidecar/upstream/attempt.h
+++ b/src/sidecar/upstream/attempt.h
@@ -39,11 +39,12 @@
 
 /// The result of an attempt, reported exactly once per attempt.
 struct AttemptEnd {
-  AttemptId id;                                       ///< of the AttemptOrder
-  balancer::Outcome outcome = balancer::Outcome::Ok;  ///< how the attempt ended
-  Clock::duration latency{};                          ///< time since the attempt was started
-  std::string body;                                   ///< of an Ok whose answer was not streamed
-  std::string contentType;                            ///< of an Ok; empty: the answer has none
+  AttemptId id;                                             ///< of the AttemptOrder
+  balancer::Outcome outcome = balancer::Outcome::Ok;        ///< how the attempt ended
+  Clock::duration latency{};                                ///< time since the attempt was started
+  std::string body;                                         ///< of an Ok whose answer was not streamed
+  std::shared_ptr<streaming::ByteBudget::Share> bodyShare;  ///< the budget that `body` has taken; null: none
+  std::string contentType;                                  ///< of an Ok; empty: the answer has none
   bool isBodyConsumed = false;  ///< a part of the streamed body has been sent and can't be resent
   Clock::duration transfer{};   ///< the part of `latency` in which bodies were streamed
   std::optional<balancer::LoadReport> report;  ///< from the answer's header; none: absent or invalid
--- a/src/sidecar/upstream/connection_pool.cpp
+++ b/src/sidecar/upstream/connection_pool.cpp
@@ -18,8 +18,6 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-// The fraction of the descriptors for client and upstream connections that upstream connections may use.
-constexpr double kUpstreamFraction = 0.389;
 // Defaults for settings that have no connect timeout or idle timeout.
 constexpr milliseconds kDefaultConnectTimeout{1000};
 constexpr milliseconds kDefaultIdleTime{5000};
@@ -58,7 +56,7 @@
 ConnectionPool::ConnectionPool(asio::io_context& io, const Config& config, streaming::ByteBudget& budget,
                                Callbacks callbacks)
     : callbacks_(std::move(callbacks)),
-      maxConnections_(static_cast<std::size_t>(kUpstreamFraction * config.poolSockets())),
+      maxConnections_(config.memoryPlan().upstreamConnections),
       context_{io,
                budget,
                *this,
@@ -292,6 +290,7 @@
   result.outcome = outcome;
   result.latency = latency;
   result.body = std::move(job.body);
+  result.bodyShare = std::move(job.bodyShare);
   result.contentType = std::move(job.contentType);
   result.isBodyConsumed = isBodyConsumed(job);
   result.transfer = job.transfer;
--- a/src/sidecar/upstream/upstream_exchange.cpp
+++ b/src/sidecar/upstream/upstream_exchange.cpp
@@ -11,6 +11,7 @@
 
 #include "admission/tcp_state.h"
 #include "framing.h"
+#include "memory_plan.h"
 #include "network/nonblocking_io.h"
 #include "upstream/upstream_request.h"
 
@@ -23,8 +24,8 @@
 using boost::system::error_code;
 using std::chrono::milliseconds;
 
-// Bytes that one read takes of an answer that is not streamed.
-constexpr std::size_t kReadSize = 8UL * 1024;
+// Bytes that one read takes of an answer that is not streamed, if the byte budget suffices.
+constexpr std::size_t kLargeReadSize = 8UL * 1024;
 // An attempt fails if the upstream accepts no byte of a large body for this period.
 constexpr milliseconds kUploadStallTimeout{2000};
 // A streamed answer fails if the upstream sends no byte for this period.
@@ -51,6 +52,7 @@
   auto job = std::exchange(job_, nullptr);
   isUploading_ = false;
   held_.reset();
+  answerShare_.reset();
   if (const auto answer = std::exchange(answerPipe_, nullptr)) answer->fail();
   return job;
 }
@@ -195,6 +197,7 @@
   connection_.setDeadline(job_->deadline);
   job_->isWritten = true;
   writtenAt_ = Clock::now();
+  unwrittenHead_ = {};
   if (job_->attempt) context_.host.onWritten(job_->attempt->id);
   beginReading();
 }
@@ -205,6 +208,8 @@
   parser_.begin();
   firstByteAt_.reset();
   bodySince_.reset();
+  discardedBytes_ = 0;
+  hasFilledBuffer_ = false;
   hasHeld_ = false;
   isReadingPaused_ = false;
   isForwardingDue_ = false;
@@ -212,12 +217,14 @@
 }
 
 void UpstreamExchange::onReadable() {
-  const std::size_t readSize =
-      answerPipe_ ? std::min(answerPipe_->freeCapacity(), kStreamReadSize) : kReadSize;
-  if (readSize == 0) return pause();
+  if (answerPipe_ && answerPipe_->freeCapacity() == 0) return pause();
+  std::size_t most = readSize();
+  if (!answerPipe_ && hasFilledBuffer_ && reserveAnswer(kLargeReadSize)) most = kLargeReadSize;
+  if (!reserveAnswer(most)) return onBudgetUsedUp();
   error_code error;
-  const std::size_t size = network::receiveSome(connection_.socket(), parser_.prepare(readSize), error);
+  const std::size_t size = network::receiveSome(connection_.socket(), parser_.prepare(most), error);
   parser_.commit(size);
+  hasFilledBuffer_ = size == most;
   if (size > 0 && !firstByteAt_) firstByteAt_ = Clock::now();
   if (network::isTransient(error)) return connection_.awaitReadable(error);
   if (error == asio::error::eof && parser_.endsWithConnection()) {
@@ -229,15 +236,61 @@
   advance();
 }
 
+// Whether the current answer is one for a client.
+bool UpstreamExchange::isForwardable() const {
+  return parser_.hasHead() && job_->attempt && parser_.outcome() == Outcome::Ok;
+}
+
+// The bytes to read at once; over 0 unless a pipe is full. Behind a piece of a chunk's header a streamed
+// answer is read in smaller parts, so that they fit into the memory for one.
+std::size_t UpstreamExchange::readSize() const {
+  if (!answerPipe_) return UpstreamConnectionMemory::kReadSize;
+  const std::size_t free = std::min(answerPipe_->freeCapacity(), answerPipe_->pieceSize());
+  return parser_.unparsed() < free ? free - parser_.unparsed() : free;
+}
+
+// Takes from the byte budget what the answer needs for another read.
+bool UpstreamExchange::reserveAnswer(std::size_t readSize) {
+  // The buffers beside a pipe with budget are included in its cost.
+  if (answerPipe_ && answerPipe_->pieceSize() > UpstreamConnectionMemory::kReadSize) return true;
+  const auto memory = parser_.memoryFor(readSize);
+  const auto beyond = [](std::size_t bytes, std::size_t free) { return bytes > free ? bytes - free : 0; };
+  const std::size_t needed = beyond(memory.bufferAndHead, UpstreamConnectionMemory::kBufferAndHead) +
+                             beyond(memory.body, UpstreamConnectionMemory::kBody);
+  if (needed == 0) return true;
+  if (!answerShare_) answerShare_ = std::make_shared<streaming::ByteBudget::Share>(context_.budget);
+  return answerShare_->growTo(needed);
+}
+
+// An answer that can't be buffered any further is forwarded, or waits for the end of its request.
+void UpstreamExchange::onBudgetUsedUp() {
+  if (answerPipe_ || !isForwardable()) return failBroken();
+  if (!job_->isWritten) {
+    isReadingPaused_ = true;
+    return;
+  }
+  startForwarding();
+  if (!job_) return;
+  if (answerPipe_ || reserveAnswer(readSize())) return connection_.awaitReadable({});
+  failBroken();
+}
+
+// Drops the body of an answer that is no success, which nobody reads.
+bool UpstreamExchange::discardBody() {
+  discardedBytes_ += parser_.body().size();
+  parser_.body().clear();
+  return discardedBytes_ <= kStreamingThreshold;
+}
+
 // Continues after bytes have been parsed.
 void UpstreamExchange::advance() {
-  // A large body is read only if it will be forwarded to a client.
-  const bool isForwardable = parser_.hasHead() && job_->attempt && parser_.outcome() == Outcome::Ok;
-  if (isForwardable && job_->isWritten) {
+  if (isForwardable() && job_->isWritten) {
     forwardBody();
     if (!job_) return;
+  } else if (parser_.hasHead() && parser_.outcome() != Outcome::Ok) {
+    if (!discardBody()) return failBroken();
   } else if (parser_.body().size() > kStreamingThreshold) {
-    if (!isForwardable || parser_.isComplete()) return failBroken();
+    if (!isForwardable() || parser_.isComplete()) return failBroken();
     isReadingPaused_ = true;  // until the request has been sent
     return;
   }
@@ -292,9 +345,15 @@
     if (!parser_.isFingerprintComplete()) return;
     if (isLikelyCopy(parser_.outcome(), parser_.fingerprint())) return body.clear();
   }
-  if (!answerPipe_) beginStream();
+  const bool isNew = !answerPipe_;
+  if (isNew) beginStream();
   if (!answerPipe_) return;  // beginStream() ended the job
-  answerPipe_->push(body);
+  if (isNew && answerShare_) {
+    answerPipe_->adopt(std::move(body), *answerShare_);
+  } else {
+    answerPipe_->push(body);
+  }
+  if (isNew) body = {};
   body.clear();
   isForwardingDue_ = false;
   connection_.setDeadline(Clock::now() + kAnswerStallTimeout);
@@ -349,7 +408,10 @@
   if (outcome == Outcome::Ok) {
     job->contentType = std::move(answer.contentType);
     job->body = std::move(answer.body);
+    job->bodyShare = std::move(answer.bodyShare);
   }
+  answerShare_.reset();
+  parser_.clear();
   connection_.release(isReusable && answer.keepsConnection && job->isWritten);
   context_.host.onEnded(*job, outcome);
 }
@@ -394,7 +456,10 @@
   answer.fingerprint = parser_.fingerprint();
   answer.responseTime = firstByteAt_.value_or(writtenAt_) - writtenAt_;
   answer.keepsConnection = parser_.keepsConnection();
-  if (answer.outcome == Outcome::Ok) answer.body = std::move(parser_.body());
+  if (answer.outcome == Outcome::Ok) {
+    answer.body = std::move(parser_.body());
+    answer.bodyShare = std::exchange(answerShare_, nullptr);
+  }
   return answer;
 }
 
@@ -410,7 +475,7 @@
   parser_.begin();
   firstByteAt_.reset();
   bodySince_.reset();
-  if (!parser_.hasUnparsed()) return connection_.awaitReadable({});
+  if (parser_.unparsed() == 0) return connection_.awaitReadable({});
   firstByteAt_ = now;
   if (!parser_.parse()) return failBroken();
   advance();
--- a/src/sidecar/upstream/upstream_exchange.h
+++ b/src/sidecar/upstream/upstream_exchange.h
@@ -99,6 +99,7 @@
   struct Received {
     balancer::Outcome outcome = balancer::Outcome::Ok;
     std::string body;
+    std::shared_ptr<streaming::ByteBudget::Share> bodyShare;  // the budget that `body` has taken; null: none
     std::string contentType;
     std::string loadReport;
     std::uint64_t fingerprint = 0;
@@ -120,6 +121,11 @@
   // Receiving the answer.
   void beginReading();
   void advance();
+  [[nodiscard]] bool isForwardable() const;
+  [[nodiscard]] std::size_t readSize() const;
+  [[nodiscard]] bool reserveAnswer(std::size_t readSize);
+  void onBudgetUsedUp();
+  [[nodiscard]] bool discardBody();
   void beginStream();
   void forwardBody();
   void startForwarding();
@@ -153,12 +159,15 @@
   StreamWriter writer_;             // writes a streamed request body
   AnswerParser parser_;
   std::shared_ptr<streaming::Pipe> answerPipe_;  // a streamed answer; null: the answer is not streamed
+  std::shared_ptr<streaming::ByteBudget::Share> answerShare_;  // of an answer that is received; may be null
+  std::size_t discardedBytes_ = 0;                             // of the body of an answer that is no success
   std::shared_ptr<ResponseTimes> responseTimes_;
   Clock::time_point writtenAt_;                   // when the last byte of the request was sent
   std::optional<Clock::time_point> firstByteAt_;  // of the current answer
   std::optional<Clock::time_point> bodySince_;    // the first bytes of its body, if it is forwardable
   std::optional<std::uint64_t> previousAnswer_;   // the fingerprint; none: the connection had no answer yet
   std::optional<Received> held_;                  // an early answer; another one may follow
+  bool hasFilledBuffer_ = false;                  // the last read took all that it could
   bool hasHeld_ = false;                          // an answer was held in this exchange
   bool isUploading_ = false;
   bool isAwaitingWritable_ = false;  // waits for the kernel to accept more of a streamed body
--- a/src/sidecar/upstream/upstream_job.h
+++ b/src/sidecar/upstream/upstream_job.h
@@ -31,11 +31,12 @@
   bool hasEnded = false;                         ///< the end has been reported
   std::weak_ptr<UpstreamConnection> connection;  ///< the connection that carries the job
   std::string body;                              ///< of an answer of status 200 that was not streamed
-  std::string contentType;                       ///< of an answer of status 200
-  std::string loadReport;                        ///< the header with the load report, unparsed
-  bool isStreamed = false;                       ///< the answer is streamed
-  Clock::time_point streamingSince;              ///< when the streaming of the current body began
-  Clock::duration transfer{};                    ///< the time in which bodies were streamed
+  std::shared_ptr<streaming::ByteBudget::Share> bodyShare;  ///< the budget that `body` has taken; null: none
+  std::string contentType;                                  ///< of an answer of status 200
+  std::string loadReport;                                   ///< the header with the load report, unparsed
+  bool isStreamed = false;                                  ///< the answer is streamed
+  Clock::time_point streamingSince;                         ///< when the streaming of the current body began
+  Clock::duration transfer{};                               ///< the time in which bodies were streamed
 };
 
 /// The interface of the pool to its connections. Outlives them, except for handlers of closed connections,
--- a/src/streaming/body_buffering.cpp
+++ b/src/streaming/body_buffering.cpp
@@ -2,20 +2,24 @@
 #include "streaming/body_buffering.h"
 
 #include <algorithm>
+#include <bit>
 
 namespace ivypost::streaming {
 
+bool BodyBuffering::mustStream(std::size_t received, std::optional<std::uint64_t> statedLength) {
+  return received >= kMaxBuffered ||
+         (received >= kStreamingThreshold && statedLength.value_or(0) > kMaxBuffered);
+}
+
 std::optional<std::size_t> BodyBuffering::capacityFor(std::size_t received,
                                                       std::optional<std::uint64_t> statedLength) {
-  if (received <= freeBytes_) return received;
-  // Capacity for a stated length is taken at once: a buffer that grows holds twice its bytes while it is
-  // copied.
-  const std::uint64_t wanted = std::max<std::uint64_t>(received, statedLength.value_or(0));
-  if (wanted > kMaxBuffered) return std::nullopt;
-  while (share_.bytes() < wanted) {
-    if (!share_.grow(kBudgetStep)) return std::nullopt;
-  }
-  return static_cast<std::size_t>(wanted);
+  if (received < kFreeBytes) return kFreeBytes;
+  const auto stated =
+      static_cast<std::size_t>(std::min<std::uint64_t>(statedLength.value_or(0), kMaxBuffered));
+  const std::size_t doubled = std::bit_ceil(received + 1);
+  const std::size_t capacity = received < stated ? std::min(kMaxUnusedFactor * received, stated) : doubled;
+  if (!share_.growTo(capacity)) return std::nullopt;
+  return capacity;
 }
 
 StallTimer::Duration BodyBuffering::uploadTime(const StallTimer& rate,
--- a/src/streaming/byte_budget.h
+++ b/src/streaming/byte_budget.h
@@ -52,8 +52,18 @@
       bytes_ += bytes;
       return true;
     }
+    /// Grows to at least `bytes`. Returns false, and changes nothing, if the budget has too few bytes left.
+    [[nodiscard]] bool growTo(std::size_t bytes) { return bytes <= bytes_ || grow(bytes - bytes_); }
+    /// Returns what exceeds `bytes` to the budget.
+    void shrinkTo(std::size_t bytes) {
+      if (bytes >= bytes_) return;
+      account_->inUse -= bytes_ - bytes;
+      bytes_ = bytes;
+    }
+    /// Takes over all bytes of another share of the same budget.
+    void takeFrom(Share& other) { bytes_ += std::exchange(other.bytes_, 0); }
     /// Returns all bytes to the budget. The share may grow again.
-    void release() { account_->inUse -= std::exchange(bytes_, 0); }
+    void release() { shrinkTo(0); }
     /// The bytes that this share holds.
     [[nodiscard]] std::size_t bytes() const { return bytes_; }
 
--- a/src/streaming/pipe.h
+++ b/src/streaming/pipe.h
@@ -2,6 +2,7 @@
 #ifndef IVYPOST_STREAMING_PIPE_H_
 #define IVYPOST_STREAMING_PIPE_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -20,12 +21,22 @@
 /// and its peer can't send more.
 class Pipe {
  public:
-  /// The capacity in bytes of a pipe that gets nothing from the budget: one read of a socket.
-  static constexpr std::size_t kMinCapacity = 16UL * 1024;
+  /// The capacity in bytes of a pipe that gets nothing from the budget: one small read of a socket.
+  static constexpr std::size_t kMinCapacity = 2UL * 1024;
   /// The capacity in bytes if the budget suffices: several reads and writes in flight.
   static constexpr std::size_t kPreferredCapacity = 128UL * 1024;
+  /// The most bytes that are copied from or into a pipe at once.
+  static constexpr std::size_t kMaxPieceSize = 16UL * 1024;
+  /// Bytes that a pipe takes from the budget for its preferred capacity: its storage, and pieces that are
+  /// copied into and from it: as read, as parsed and as written.
+  static constexpr std::size_t kPreferredCost =
+      kPreferredCapacity + kPreferredCapacity / 4 + 3 * kMaxPieceSize;
+  /// The most bytes that a pipe without budget stores: a quarter more than its capacity.
+  static constexpr std::size_t kMinStorage = kMinCapacity + kMinCapacity / 4;
+  /// The capacity up to which extend() works.
+  static constexpr std::size_t kMaxExtendedCapacity = 2048UL * 1024;
 
-  /// Takes kPreferredCapacity from the budget until it is destroyed, or works with kMinCapacity if the budget
+  /// Takes kPreferredCost from the budget until it is destroyed, or works with kMinCapacity if the budget
   /// has fewer bytes left.
   explicit Pipe(const ByteBudget& budget);
   Pipe(const Pipe&) = delete;
@@ -46,6 +57,16 @@
   /// For the producer: appends bytes. Accepts more than freeCapacity(), since the bytes have been read
   /// already. Bytes after an abandonment or a failure are dropped.
   void push(std::string_view bytes);
+  /// For the producer: takes over the bytes of a buffer, and the budget that it holds for them, until the
+  /// consumer has forwarded enough for the pipe's own capacity. Requires an empty pipe.
+  void adopt(std::string bytes, ByteBudget::Share& budget);
+  /// For the producer: makes room for at least `bytes` more than the pipe holds, from the budget, until the
+  /// consumer has forwarded enough for the pipe's own capacity. Returns false, and changes nothing, if the
+  /// budget or kMaxExtendedCapacity does not suffice.
+  [[nodiscard]] bool extend(std::size_t bytes);
+  /// The most bytes that should be copied from or into the pipe at once: buffers of this size are included in
+  /// what the pipe takes from the budget.
+  [[nodiscard]] std::size_t pieceSize() const { return std::min(capacity_, kMaxPieceSize); }
   /// For the producer: marks the body as complete.
   void end();
   /// For the producer: marks the body as failed; the rest will not be received. Does nothing after end().
@@ -72,8 +93,14 @@
     if (side) side();
   }
 
+  [[nodiscard]] std::size_t storageLimit() const { return limit_ + limit_ / 4; }
+  void makeRoom(std::size_t bytes);
+  void endExtension();
+
   ByteBudget::Share share_;
-  std::size_t capacity_ = kMinCapacity;
+  ByteBudget::Share extension_;          // for storage beyond the pipe's own capacity
+  std::size_t capacity_ = kMinCapacity;  // the pipe's own
+  std::size_t limit_ = kMinCapacity;     // the capacity including an extension
   std::string bytes_;
   std::size_t begin_ = 0;  // the bytes before this index have been forwarded
   std::uint64_t forwardedBytes_ = 0;
--- a/tests/streaming/pipe_test.cpp
+++ b/tests/streaming/pipe_test.cpp
@@ -12,12 +12,13 @@
 
 // A transfer that has begun can always be completed: without budget a pipe still has its minimum capacity.
 TEST(PipeTest, WithoutBudgetItHasItsMinimumCapacity) {
-  ByteBudget budget(Pipe::kPreferredCapacity);
+  ByteBudget budget(Pipe::kPreferredCost);
   Pipe large(budget);
   EXPECT_EQ(large.freeCapacity(), Pipe::kPreferredCapacity);
   Pipe small(budget);
   EXPECT_EQ(small.freeCapacity(), Pipe::kMinCapacity);
-  EXPECT_EQ(budget.inUse(), Pipe::kPreferredCapacity);
+  EXPECT_EQ(budget.inUse(), Pipe::kPreferredCost);
+  EXPECT_GE(Pipe::kPreferredCost, Pipe::kPreferredCapacity);
   small.push(std::string(Pipe::kMinCapacity, 'x'));
   EXPECT_EQ(small.freeCapacity(), 0U);
   small.pop(1);
@@ -60,6 +61,47 @@
   EXPECT_EQ(failed.freeCapacity(), 0U);
 }
 
+// What a body has taken from the budget stays taken as long as its bytes are held.
+TEST(PipeTest, KeepsTheBudgetOfAdoptedBytesUntilTheyFitIntoIt) {
+  ByteBudget budget(100'000);
+  ByteBudget::Share share(budget);
+  ASSERT_TRUE(share.grow(50'000));
+  Pipe pipe(budget);
+  pipe.adopt(std::string(50'000, 'a'), share);
+  EXPECT_EQ(share.bytes(), 0U);
+  EXPECT_EQ(budget.inUse(), 50'000U);
+  EXPECT_EQ(pipe.freeCapacity(), 0U);
+  pipe.pop(50'000 - Pipe::kMinCapacity - 1);
+  EXPECT_EQ(budget.inUse(), 50'000U);
+  pipe.pop(1);
+  EXPECT_EQ(budget.inUse(), 0U);
+  EXPECT_EQ(pipe.front().size(), Pipe::kMinCapacity);
+  EXPECT_EQ(pipe.freeCapacity(), 0U);
+  pipe.pop(Pipe::kMinCapacity);
+  EXPECT_EQ(pipe.freeCapacity(), Pipe::kMinCapacity);
+}
+
+TEST(PipeTest, ExtendsItsCapacityFromTheBudget) {
+  ByteBudget budget(10'000);
+  Pipe pipe(budget);
+  pipe.push(std::string(Pipe::kMinCapacity, 'a'));
+  ASSERT_TRUE(pipe.extend(1000));
+  EXPECT_GE(pipe.freeCapacity(), 1000U);
+  EXPECT_GT(budget.inUse(), 0U);
+  EXPECT_FALSE(pipe.extend(100'000));
+  pipe.push(std::string(1000, 'b'));
+  pipe.pop(1000);
+  EXPECT_EQ(budget.inUse(), 0U);
+  EXPECT_EQ(pipe.front(), std::string(Pipe::kMinCapacity - 1000, 'a') + std::string(1000, 'b'));
+}
+
+TEST(PipeTest, ExtendsNoFurtherThanItsLimit) {
+  ByteBudget budget(100'000'000);
+  Pipe pipe(budget);
+  EXPECT_TRUE(pipe.extend(Pipe::kMaxExtendedCapacity));
+  EXPECT_FALSE(pipe.extend(Pipe::kMaxExtendedCapacity + 1));
+}
+
 TEST(PipeTest, TakesNothingMoreWhenAbandoned) {
   ByteBudget budget(0);
   Pipe pipe(budget);
