--- a/src/sidecar/listener.cpp
+++ b/src/sidecar/listener.cpp
@@ -67,16 +67,22 @@
 
 void Listener::close() {
   pause();
-  // The connections in the queue are served, unless another process accepts from it too. A connection that
-  // has ended there, or a lack of descriptors, does not mean that the queue is empty.
+  // A connection that has ended in the queue, or a lack of descriptors, does not mean that the queue is
+  // empty.
   for (int failures = 0; !isInherited_ && failures < kMaxFailuresInARow;) {
+    const bool hasCapacity = !limiter_.isFull() || callbacks_.evictConnection();
     error_code error;
     tcp::socket socket(io_);
     acceptor_.accept(socket, error);
     if (error == asio::error::would_block) break;
     failures = error ? failures + 1 : 0;
     if (isSystemShortage(error)) callbacks_.evictConnection();
-    if (!error) callbacks_.onAccepted(std::move(socket));
+    if (error) continue;
+    if (hasCapacity) {
+      callbacks_.onAccepted(std::move(socket));
+    } else {
+      callbacks_.onRejected(std::move(socket));
+    }
   }
   // The socket is closed but never shut down: an inherited one stays open for the other process.
   error_code ignored;
--- a/src/sidecar/listener.h
+++ b/src/sidecar/listener.h
@@ -24,6 +24,9 @@
     /// Takes ownership of an accepted connection. Also called for a connection whose accept completes after
     /// pause() or close().
     std::function<void(boost::asio::ip::tcp::socket)> onAccepted;
+    /// Rejects a connection beyond the limit, which was in the kernel's queue at close(): gives its client a
+    /// final answer and closes it within the call.
+    std::function<void(boost::asio::ip::tcp::socket)> onRejected;
   };
 
   /// Listens on the configured address, or uses the inherited listening socket; accepts from start() on.
@@ -37,7 +40,8 @@
   /// may accept them; one whose accept has completed is still served.
   void pause();
   /// Stops accepting for good: accepts the connections in the kernel's queue, unless another process accepts
-  /// from it too, and closes the socket.
+  /// from it too, and closes the socket. Within the connection limit they are served, beyond it rejected:
+  /// their requests may have been sent, and need an answer.
   void close();
   /// A client connection was closed: resumes accepting if the listener waits for that.
   void onCapacity();
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "admission/tcp_state.h"
+#include "last_response.h"
 #include "request_parser.h"
 
 namespace ivypost {
@@ -50,7 +51,8 @@
                             }}),
       listener_(
           io, config, connectionLimiter_,
-          {[this] { return evictConnection(); }, [this](tcp::socket socket) { admit(std::move(socket)); }}),
+          {[this] { return evictConnection(); }, [this](tcp::socket socket) { admit(std::move(socket)); },
+           [this](tcp::socket socket) { reject(std::move(socket)); }}),
       statusSettings_(file.status) {}
 
 Server::~Server() {
@@ -71,6 +73,13 @@
   session->start();
 }
 
+// The request of the connection has not been read, so that it has not run.
+void Server::reject(tcp::socket socket) const {
+  error_code ignored;
+  socket.non_blocking(true, ignored);
+  sendLastResponse(socket, formatLastResponse(rejection("refused: the sidecar stops")));
+}
+
 // Makes room for new connections when clients hold connections without using them.
 bool Server::evictConnection() {
   for (const auto connection : connectionLimiter_.evictionCandidates(now())) {
--- a/src/sidecar/server.h
+++ b/src/sidecar/server.h
@@ -91,6 +91,7 @@
 
  private:
   void admit(boost::asio::ip::tcp::socket socket);
+  void reject(boost::asio::ip::tcp::socket socket) const;
   bool evictConnection();
   [[nodiscard]] const lifecycle::Effects& effects() const override { return effects_; }
   [[nodiscard]] std::optional<Answer> rejectionFromHead(const RequestHead& head,
--- a/tests/sidecar/client_memory_test.cpp
+++ b/tests/sidecar/client_memory_test.cpp
@@ -1,6 +1,8 @@
 // Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
 //
 // Tests of what a client's connection takes from the byte budget, and of what happens where it is used up.
+#include <deque>
+
 #include "moments.h"
 
 namespace ivypost {
@@ -159,5 +161,28 @@
   EXPECT_LT(Clock::now() - sentAt, std::chrono::seconds(3));
 }
 
+// Guards against a stop that takes the process over its memory and descriptors (review/8): it took in the
+// whole accept queue, beyond the connection limit.
+TEST_F(ClientMemoryTest, AStopRejectsTheQueueBeyondTheConnectionLimit) {
+  serve();
+  const std::size_t most = server->connectionLimiter().maxConnections();
+  std::deque<Client> crowd;
+  for (std::size_t n = 0; n < most; ++n) {
+    crowd.push_back(connect());
+    crowd.back().send("POST /cambio/7 HTTP/1.1\r\n");
+  }
+  ASSERT_TRUE(wait([&] {
+    return server->connectionLimiter().count(admission::ConnectionLimiter::State::Active) == most;
+  }));
+  std::deque<Client> queued;
+  for (int n = 0; n < 40; ++n) {
+    queued.push_back(connect());
+    queued.back().send(withBody(n, 10));
+  }
+  server->apply(stopping(false, false));
+  EXPECT_LE(connectionCount(), most);
+  for (const Client& client : queued) EXPECT_EQ(statusOf(client), 503U);
+}
+
 }  // namespace
 }  // namespace ivypost
