Client session: input is read ahead only within its share of the byte budget

What callers saw: while one client sent small sound requests at full speed on one connection, memory grew by 150 MB a second, and others waited.

Cause: waitForInput() read up to 64 KiB before it asked mayReadAhead(), once a request, and in Idle as well with a full buffer; a request takes 190 bytes out.

Change: it asks first, in both states, and goes on with what is buffered. A pause after a 4xx answer is no longer passed over by a read that was under way.

--- a/src/sidecar/client_session.cpp
+++ b/src/sidecar/client_session.cpp
@@ -182,13 +182,15 @@
   network::waitToRetry(socket_, tcp::socket::wait_read, why, [self = shared_from_this()](error_code) {
     self->isWaitingForInput_ = false;
     if (self->isUploading_ || (self->state_ != State::Idle && self->state_ != State::Waiting)) return;
+    // What is buffered is handled first, and resume() follows a pause.
+    if (self->state_ == State::Idle && (self->buffer_.size() > 0 || self->isPausing_)) return;
+    if (!self->mayReadAhead()) return self->stopReadingAhead();
     const error_code error = self->readAhead();
     if (error && !network::isShortage(error)) self->mayHaveUnread_ = false;  // the kernel holds nothing more
     if (network::isTransient(error)) return self->waitForInput(error);
     if (error) return self->close();
     if (self->state_ == State::Idle) return self->read();
-    if (self->mayReadAhead()) return self->waitForInput();
-    self->stopReadingAhead();
+    self->waitForInput();
   });
 }
 
@@ -265,6 +267,7 @@
 }
 
 void ClientSession::resume() {
+  isPausing_ = false;
   if (state_ != State::Idle) return;
   if (buffer_.size() > 0) return read();
   waitForInput();
--- a/src/sidecar/client_session.h
+++ b/src/sidecar/client_session.h
@@ -228,6 +228,7 @@
   bool keepAlive_ = true;
   bool isWaitingForInput_ = false;
   bool hasFilledBuffer_ = false;  // the last read of a body took all that it could
+  bool isPausing_ = false;        // reading pauses after an answer to a faulty request
   bool isBufferInUse_ = false;    // a pending operation reads a head into the buffer, or writes a 100
   bool mayHaveUnread_ = false;  // reading ahead has stopped: unread data, and a close after it, may be queued
 };
--- a/src/sidecar/client_session_writing.cpp
+++ b/src/sidecar/client_session_writing.cpp
@@ -149,7 +149,8 @@
   if (closesAfterResponse_) return hangUp();
   state_ = State::Idle;
   connectionLimiter_.beginIdle(slot_, now());
-  if (isClientError_) return deadline_.set(Clock::now() + kErrorPause, [this] { resume(); });
+  isPausing_ = isClientError_;
+  if (isPausing_) return deadline_.set(Clock::now() + kErrorPause, [this] { resume(); });
   // At most one request of a connection is handled per turn of the event loop, so that a client that
   // pipelines many requests does not starve the other connections.
   if (buffer_.size() == 0) return waitForInput();
--- a/tests/sidecar/client_memory_test.cpp
+++ b/tests/sidecar/client_memory_test.cpp
@@ -2,6 +2,7 @@
 //
 // Tests of what a client's connection takes from the byte budget, and of what happens where it is used up.
 #include <deque>
+#include <tuple>
 
 #include "moments.h"
 
@@ -90,6 +91,42 @@
   EXPECT_EQ(budget->inUse(), 0U);
 }
 
+// Guards against memory that grows without end while a client sends requests at full speed on one connection
+// (review, picture c): each request took a hundred bytes out of the buffer, and the next read put many more
+// in.
+TEST_F(ClientMemoryTest, AClientThatSendsAtFullSpeedIsReadNoFasterThanItIsServed) {
+  constexpr std::size_t kRequests = 1500;
+  constexpr std::size_t kKernelBuffers = 4'000'000;
+  serveWithBudget(4'000'000);
+  tcp::socket raw(io);
+  raw.open(tcp::v4());
+  raw.set_option(asio::socket_base::send_buffer_size(65536));
+  raw.connect({asio::ip::address_v4::loopback(), server->port()});
+  raw.non_blocking(true);
+  std::string text;
+  std::size_t accepted = 0;  // bytes that the kernel has taken from the client
+  std::size_t servedBytes = 0;
+  std::vector<char> answers(1'000'000);
+  int next = 0;
+  for (std::size_t served = 0; served < kRequests;) {
+    error_code error;
+    while (!error) {
+      while (text.size() < 100'000) text += withBody(++next, 1);
+      const std::size_t sent = raw.write_some(asio::buffer(text), error);
+      accepted += sent;
+      text.erase(0, sent);
+    }
+    io.restart();
+    io.poll();
+    served += receivedRequests.size();
+    servedBytes += receivedRequests.size() * withBody(1, 1).size();
+    answerAll();
+    std::ignore = raw.read_some(asio::buffer(answers), error);
+  }
+  EXPECT_LE(accepted, servedBytes + streaming::BodyBuffering::kMaxBuffered + kKernelBuffers);
+  EXPECT_LE(budget->inUse(), 2 * streaming::BodyBuffering::kMaxBuffered);
+}
+
 // A body that finds no budget waits for it, and is then buffered like any other: a streamed one would take
 // the time of an upstream for as long as its client writes.
 TEST_F(ClientMemoryTest, ABodyWaitsForTheBudgetOfOthers) {
