A restarted upstream is not taken for the process that was at its address before

What callers may have seen: a keyed request run twice, or one that failed though it never ran.

Cause: a retry within the group "the upstream itself" (no cell) compared its number, and the pool its address. A restart changes neither, but the new process knows no keys, and a connection to one that went without a word leads nowhere.

Change: an attempt notes start and identity of its upstream, and such a retry needs both. The pool has the start beside the address; with another one idle connections close, and attempts that wait for one end as never sent and are tried again.

Tests: Repeats.AnUpstreamWithoutACellThatHasRestartedIsNotItself and ConnectionSettlingTest.AProcessThatHasRestartedGetsNewConnections.

--- a/src/balancer/request.h
+++ b/src/balancer/request.h
@@ -22,6 +22,8 @@
   bool countsAsInFlight = true;       ///< included in the in-flight counts; a streaming attempt is not
   bool needsConnection = false;       ///< no open connection had a free stream when it was sent
   bool mayHaveRun = true;             ///< false once an outcome proves that it never ran
+  Micros launchedAt = 0;              ///< the endpoint's start at that time; with the identity, its process
+  std::uint64_t identity = 0;         ///< the endpoint's identity at that time
 };
 
 /// A request, from its arrival until it has its final answer and no attempt in flight. Times are
--- a/src/balancer/request_lifecycle.cpp
+++ b/src/balancer/request_lifecycle.cpp
@@ -101,7 +101,8 @@
   decisions_.subset.join(endpoint, now);
   decisions_.priority.countUsage(request, now);
   decisions_.sendRate.count(now);
-  request.attempts.push_back({to, endpoint.zone, endpoint.cell, now, true, true, needsConnection});
+  request.attempts.push_back({to, endpoint.zone, endpoint.cell, now, true, true, needsConnection, true,
+                              endpoint.launchedAt, endpoint.identity});
   ++request.pendingAttempts;
   decisions_.sidecarLimit.countSend();
   context.act(Send{id, to, 0});
--- a/src/balancer/retry_policy.cpp
+++ b/src/balancer/retry_policy.cpp
@@ -74,6 +74,13 @@
                                               [](const Attempt& attempt) { return attempt.mayHaveRun; });
 }
 
+// Whether the endpoint is still the process that got this attempt. One that has restarted, or another one
+// under its id, doesn't remember the attempt.
+bool RetryPolicy::isSameProcess(const Attempt& anchor, const Endpoint& endpoint, EndpointId id) {
+  return anchor.endpoint == id && anchor.launchedAt == endpoint.launchedAt &&
+         anchor.identity == endpoint.identity;
+}
+
 bool RetryPolicy::inGroup(RetryGroup group, const Attempt& anchor, const Endpoint& endpoint, EndpointId id) {
   switch (group) {
     case RetryGroup::All:
@@ -81,7 +88,7 @@
     case RetryGroup::Zone:
       return anchor.zone == endpoint.zone;
     case RetryGroup::Cell:
-      return anchor.cell ? anchor.cell == endpoint.cell : anchor.endpoint == id;
+      return anchor.cell ? anchor.cell == endpoint.cell : isSameProcess(anchor, endpoint, id);
   }
   return false;
 }
--- a/src/balancer/retry_policy.h
+++ b/src/balancer/retry_policy.h
@@ -92,6 +92,7 @@
   }
 
  private:
+  static bool isSameProcess(const Attempt& anchor, const Endpoint& endpoint, EndpointId id);
   static bool inGroup(RetryGroup group, const Attempt& anchor, const Endpoint& endpoint, EndpointId id);
   [[nodiscard]] bool isCharged(const Request& request) const;
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -229,8 +229,9 @@
 void Sidecar::onEndpointList(const discovery::EndpointList& list, MembershipUpdate::Kind kind) {
   const MembershipUpdate update = endpoints_.apply(list, kind, admin_.exclusions(), now());
   for (const auto& entry : update.entries) {
-    if (entry.state != balancer::EndpointState::Gone)
-      pool_.setAddress(entry.upstream, endpoints_[entry.upstream].address);
+    if (entry.state == balancer::EndpointState::Gone) continue;
+    const EndpointRecord& endpoint = endpoints_[entry.upstream];
+    pool_.setAddress(entry.upstream, endpoint.address, endpoint.startedAtMs);
   }
   // A list without a serving endpoint is applied too: draining and removed endpoints get no new attempts.
   const bool anyUp = std::any_of(update.entries.begin(), update.entries.end(), [](const auto& entry) {
--- a/src/sidecar/upstream/connection_pool.cpp
+++ b/src/sidecar/upstream/connection_pool.cpp
@@ -70,14 +70,16 @@
 
 // ---- Endpoints --------------------------------------------------------------------------------------------
 
-void ConnectionPool::setAddress(EndpointId upstream, const Endpoint& address) {
+void ConnectionPool::setAddress(EndpointId upstream, const Endpoint& address, std::int64_t startedAtMs) {
   if (upstream >= addresses_.size()) {
     addresses_.resize(upstream + 1);
     idle_.resize(upstream + 1);
     responseTimes_.resize(upstream + 1);
+    startTimes_.resize(upstream + 1);
   }
-  if (addresses_[upstream] == address) return;
-  closeUnused(upstream);  // idle and connecting sockets belong to the previous address
+  if (addresses_[upstream] == address && startTimes_[upstream] == startedAtMs) return;
+  closeUnused(upstream);  // idle and connecting sockets belong to the previous process
+  startTimes_[upstream] = startedAtMs;
   responseTimes_[upstream] = std::make_shared<ResponseTimes>();
   addresses_[upstream] = address;
 }
--- a/src/sidecar/upstream/connection_pool.h
+++ b/src/sidecar/upstream/connection_pool.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -59,9 +60,9 @@
   /// Makes no callbacks: attempts and probes that are in progress are not reported.
   ~ConnectionPool() override;
 
-  /// Sets the endpoint's address. If the address has changed, connections to the previous one are treated as
-  /// in remove().
-  void setAddress(EndpointId upstream, const Endpoint& address);
+  /// Sets the endpoint's address, and when its process started, in milliseconds of the Unix epoch. If either
+  /// has changed, connections to the previous process are treated as in remove().
+  void setAddress(EndpointId upstream, const Endpoint& address, std::int64_t startedAtMs = 0);
   /// Removes an endpoint: closes its idle connections at once and the busy ones when their attempts end, and
   /// calls failWaiting().
   void remove(EndpointId upstream);
@@ -119,6 +120,7 @@
   const std::size_t maxConnections_;
   const UpstreamContext context_;
   std::vector<std::optional<Endpoint>> addresses_;  // by endpoint id; none: unknown or removed
+  std::vector<std::int64_t> startTimes_;            // by endpoint id, as given with the address
   std::vector<std::vector<ConnectionPtr>> idle_;    // by endpoint id; the longest idle first
   // By endpoint id; shared with the connections, which may outlive the entry.
   std::vector<std::shared_ptr<ResponseTimes>> responseTimes_;
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -293,6 +293,25 @@
   }
 }
 
+// Guards against a request that runs twice (issue 63, picture e): its upstream has restarted under its id, so
+// that it is another process, which does not know the key.
+TEST(Repeats, AnUpstreamWithoutACellThatHasRestartedIsNotItself) {
+  BalancerFixture fixture;
+  std::vector<EndpointEntry> entries;
+  for (EndpointId id = 0; id < 4; ++id) {
+    entries.push_back(serving(id));
+    entries.back().cell.reset();
+  }
+  fixture.updateList(Kind::Saved, entries);
+  const EndpointId at = fixture.sendRequest(1, kKeyed);
+  entries[at].launchedAt = fixture.now;
+  fixture.updateList(Kind::Changes, {entries[at]});
+  fixture.now += 10 * kMs;
+  fixture.outcome(1, at, Outcome::Error);
+  EXPECT_EQ(fixture.count<Send>(), 0U);
+  EXPECT_EQ(fixture.count<Reject>(), 0U);
+}
+
 TEST(Repeats, AnUpstreamWithoutACellRepeatsOnlyToItself) {
   BalancerFixture fixture;
   std::vector<EndpointEntry> entries;
--- a/tests/sidecar/upstream/connection_settling_test.cpp
+++ b/tests/sidecar/upstream/connection_settling_test.cpp
@@ -173,6 +173,21 @@
   EXPECT_EQ(upstream.requests.size(), 1u);
 }
 
+// Guards against a request that is lost on a connection to a process that is gone without a word (issue 63,
+// picture e): another one has started at its address.
+TEST_F(ConnectionSettlingTest, AProcessThatHasRestartedGetsNewConnections) {
+  completeFirstAttempt();
+  send(2, "x");
+  pool->setAddress(0, parseEndpoint(upstream.address()), 1'700'000'000'000);
+  ASSERT_TRUE(wait([&] { return ends.size() == 2 && upstream.open() == 0; }));
+  EXPECT_EQ(ends[1].outcome, Outcome::ConnectFailed);
+  EXPECT_EQ(upstream.requests.size(), 1u);
+  send(3, "x");
+  answer(1, "answer 3");
+  ASSERT_TRUE(wait([&] { return ends.size() == 3; }));
+  EXPECT_EQ(ends[2].body, "answer 3");
+}
+
 // Cancelling an attempt that waits costs no connection, and nothing of it is sent.
 TEST_F(ConnectionSettlingTest, AnAttemptThatIsCancelledWhileItWaitsLeavesTheConnectionIdle) {
   completeFirstAttempt();
