Client session: a client whose upstream reads slowly is answered in its time

What callers saw: 503 2.0 s after the last byte of a request of 3 MB, with 800 ms granted; the upstream reads 3,200 bytes each 50 ms.

Cause: the client's time began when the sidecar had read the last byte. While an upload is held up nothing is read, and the rest lies in the kernels' buffers; the only clock was the stall timer of the write to the upstream, which starts anew with each piece.

Change: the session asks the kernel while an upload is held up. With all of the rest unread, or the receive buffer full and at most 4 MiB missing, the client's time runs, and ends with 504. A client that still writes has all its time.

Test: TransferTest.AnUploadThatItsUpstreamDoesNotReadIsAnsweredInTime and the other side, AnUploadWhoseClientStillWritesOutlastsItsTime.

--- a/src/admission/tcp_state.cpp
+++ b/src/admission/tcp_state.cpp
@@ -1,6 +1,7 @@
 // Copyright 2026 The ivypost authors. SPDX-License-Identifier: Apache-2.0
 #include "admission/tcp_state.h"
 
+#include <linux/sock_diag.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -8,6 +9,9 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <array>
+#include <cstdint>
+
 namespace ivypost::admission {
 
 bool hasPeerClosed(int socket) {
@@ -22,6 +26,13 @@
   return std::chrono::milliseconds(info.tcpi_last_data_recv);
 }
 
+bool isReceiveBufferFull(int socket) {
+  std::array<std::uint32_t, SK_MEMINFO_VARS> memory{};
+  socklen_t size = sizeof memory;
+  if (getsockopt(socket, SOL_SOCKET, SO_MEMINFO, memory.data(), &size) != 0) return false;
+  return memory[SK_MEMINFO_RMEM_ALLOC] >= memory[SK_MEMINFO_RCVBUF] / 2;
+}
+
 bool isAllAcknowledged(int socket) {
   int unacknowledged = 0;
   return ioctl(socket, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0;
--- a/src/admission/tcp_state.h
+++ b/src/admission/tcp_state.h
@@ -17,6 +17,10 @@
 /// tcpi_last_data_recv). Includes the time that the data has been in a queue unread. 0 on an error.
 [[nodiscard]] std::chrono::milliseconds timeSinceLastData(int socket);
 
+/// Whether unread data fills at least half of the memory that the kernel allows for it (SO_MEMINFO,
+/// Linux 4.12), so that the peer may be kept from sending. False on an error.
+[[nodiscard]] bool isReceiveBufferFull(int socket);
+
 /// Whether the peer has acknowledged all sent data, and the FIN if one was sent (tcp(7), SIOCOUTQ): closing
 /// then loses no data. False on an error.
 [[nodiscard]] bool isAllAcknowledged(int socket);
--- a/src/sidecar/client_session.cpp
+++ b/src/sidecar/client_session.cpp
@@ -44,6 +44,7 @@
 // polled for a close at kClosePollInterval.
 constexpr std::size_t kMaxUnread = 16UL * 1024;
 constexpr milliseconds kClosePollInterval{100};
+constexpr milliseconds kMinPollInterval{1};
 // Input is read ahead only while this fraction of the buffer is free: a read may move all of its contents.
 constexpr std::size_t kReadAheadDivisor = 4;
 // When the time for a request is up but unread data has been received, the request may be complete: it gets
@@ -250,10 +251,14 @@
 }
 
 void ClientSession::pollForClose() {
-  closePoll_.set(Clock::now() + kClosePollInterval, [this] {
+  const auto time = Clock::now();
+  const auto next = time + kClosePollInterval;
+  const auto end = uploadWrittenAt_.value_or(next) + std::chrono::microseconds(expiresIn_);
+  closePoll_.set(isUploading_ ? std::clamp(end, time + kMinPollInterval, next) : next, [this] {
     const auto self = shared_from_this();
     if (state_ != State::Waiting) return;
     if (admission::hasPeerClosed(socket_.native_handle())) return close();
+    if (isUploading_ && isUploadLate()) return answerLate();
     if (!isUploading_ && mayReadAhead()) return waitForInput();
     pollForClose();
   });
@@ -306,12 +311,15 @@
 }
 
 void ClientSession::armAnswerTimeout(Clock::time_point deadline) {
-  deadline_.set(deadline + kLateAnswerGrace, [this] {
-    const auto self = shared_from_this();
-    if (state_ != State::Waiting || !host_.endRequest(*this)) return;
-    write(textAnswer(504, "no answer in time"));
-    host_.cancelRequest(request_);
-  });
+  deadline_.set(deadline + kLateAnswerGrace, [this] { answerLate(); });
+}
+
+void ClientSession::answerLate() {
+  const auto self = shared_from_this();
+  if (state_ != State::Waiting || !host_.endRequest(*this)) return;
+  if (upload_) upload_->pipe.fail();
+  write(textAnswer(504, "no answer in time"));
+  host_.cancelRequest(request_);
 }
 
 void ClientSession::setDeadline(Clock::time_point until) {
--- a/src/sidecar/client_session.h
+++ b/src/sidecar/client_session.h
@@ -130,6 +130,8 @@
   // Answers the request shortly after its deadline if nothing else has: because of a late timer, an
   // overloaded core or a fault of the decision module.
   void armAnswerTimeout(Clock::time_point deadline);
+  // Answers the waiting request, whose time is over.
+  void answerLate();
   void setDeadline(Clock::time_point until);
   void hangUp();
   // Delays the close until the client has acknowledged its answer: closing over unread input resets the
@@ -171,6 +173,9 @@
   // after all that it sent has been read, and no attempt may begin after the close. So until an attempt has
   // taken bytes, reading stops only at the memory budget.
   bool mayReadBeyondPipe();
+  void updateUploadWrittenAt();
+  // Whether the client's time is over although the upstream has not read all of its request.
+  bool isUploadLate();
   void onPipeCapacity();
   void onBody(boost::system::error_code error);
   std::string_view received() const;
@@ -210,6 +215,8 @@
   std::shared_ptr<streaming::Pipe> responsePipe_;                // the body of an answer that streams
   Micros expiresIn_ = 0;  // the client's time from the last byte of a streamed request body
   std::optional<Clock::time_point> budgetWaitSince_;  // since when a body is or was unread for want of budget
+  // When the client may have written the last byte of an upload; none: not yet, or not known.
+  std::optional<Clock::time_point> uploadWrittenAt_;
   std::optional<Micros> backpressureSince_;  // since when backpressure has stopped reading the upload
   unsigned httpVersion_ = 11;                // of the request, as Boost.Beast writes versions
   bool isUploading_ = false, isReadingBody_ = false;
--- a/src/sidecar/client_session_reading.cpp
+++ b/src/sidecar/client_session_reading.cpp
@@ -28,6 +28,9 @@
 // may wait for their clients.
 constexpr milliseconds kMaxBudgetWait{2000};
 constexpr milliseconds kBudgetPollInterval{20};
+// Bytes of a request that its client may have written and that have not been received: its kernel's buffer.
+// Linux lets it grow to 4 MiB.
+constexpr std::size_t kMaxClientBuffer = 4096UL * 1024;
 // The time for a request head while requests are rejected because of a drain.
 constexpr milliseconds kMaxHeadTimeInDrain{300};
 
@@ -275,6 +278,8 @@
   milliseconds waited(0);
   if (budgetWaitSince_) waited = unreadTime();
   if (!hasFilledBuffer_) budgetWaitSince_.reset();
+  // Nothing is unread, and the request isn't complete: its client is still writing.
+  if (!hasFilledBuffer_) uploadWrittenAt_.reset();
   bodyStallTimer_->received(size, Clock::now() - waited);
 }
 
@@ -294,6 +299,7 @@
   }
   auto& request = std::get<ClientRequest>(checked);
   upload_ = upload;
+  uploadWrittenAt_.reset();
   isUploading_ = true;
   expiresIn_ = request.expiresIn;
   // The client's time counts from the last byte of the request, whose time is not known yet.
@@ -306,7 +312,7 @@
   upload->pipe.onCapacity = [weak = weak_from_this()] {
     if (const auto self = weak.lock()) asio::post(self->io_, [self] { self->onPipeCapacity(); });
   };
-  upload->pipe.adopt(std::move(read.body()), buffering_.share());
+  upload->pipe.pushBuffer(std::move(read.body()), buffering_.share());
   read.body() = {};
   read.body().reserve(upload->pipe.pieceSize());
   request.upload = std::move(upload);
@@ -327,7 +333,7 @@
   parser_->get().body().clear();
   if (!parser_->is_done()) return continueUpload();
   isUploading_ = false;
-  const auto deadline = Clock::now() + std::chrono::microseconds(expiresIn_);
+  const auto deadline = uploadWrittenAt_.value_or(Clock::now()) + std::chrono::microseconds(expiresIn_);
   upload_->deadline = responseDeadline_ = deadline;
   armAnswerTimeout(deadline);
   waitForInput();
@@ -341,6 +347,7 @@
     // Backpressure stops reading, so the stall timer of the client's body is suspended.
     deadline_.cancel();
     if (!backpressureSince_) backpressureSince_ = now();
+    if (isUploadLate()) return answerLate();
     return pollForClose();
   }
   closePoll_.cancel();
@@ -351,6 +358,28 @@
   readBodyPart(std::min(capacity, upload_->pipe.pieceSize()));
 }
 
+// The client's time counts from the last byte that it has written, which may lie unread in either kernel
+// while the upstream holds the upload up. Sets since when that is so, if it may be.
+void ClientSession::updateUploadWrittenAt() {
+  const int socket = socket_.native_handle();
+  const auto remaining = toStdOptional(parser_->content_length_remaining());
+  error_code error;
+  const std::size_t unread = socket_.available(error);
+  if (remaining && unread >= *remaining) {
+    uploadWrittenAt_ = Clock::now() - admission::timeSinceLastData(socket);
+    return;
+  }
+  // What the client has written beyond that waits in its own kernel only while this one accepts no more.
+  const bool mayBeWritten = remaining.value_or(0) <= unread + kMaxClientBuffer;
+  if (!mayBeWritten || !admission::isReceiveBufferFull(socket)) return uploadWrittenAt_.reset();
+  if (!uploadWrittenAt_) uploadWrittenAt_ = Clock::now();
+}
+
+bool ClientSession::isUploadLate() {
+  updateUploadWrittenAt();
+  return uploadWrittenAt_ && Clock::now() >= *uploadWrittenAt_ + std::chrono::microseconds(expiresIn_);
+}
+
 bool ClientSession::mayReadBeyondPipe() {
   return upload_->pipe.forwardedBytes() == 0 && upload_->pipe.extend(upload_->pipe.pieceSize());
 }
--- a/src/sidecar/upstream/upstream_exchange.cpp
+++ b/src/sidecar/upstream/upstream_exchange.cpp
@@ -349,7 +349,7 @@
   if (isNew) beginStream();
   if (!answerPipe_) return;  // beginStream() ended the job
   if (isNew && answerShare_) {
-    answerPipe_->adopt(std::move(body), *answerShare_);
+    answerPipe_->pushBuffer(std::move(body), *answerShare_);
   } else {
     answerPipe_->push(body);
   }
@@ -418,7 +418,7 @@
 
 // An attempt whose last byte was not sent can't have run, so that it counts as never sent.
 void UpstreamExchange::failBroken() {
-  if (held_) return onNothingFollows();
+  if (held_) return onNoFurtherAnswer();
   connection_.fail(job_->isWritten ? Outcome::Reset : Outcome::ConnectFailed);
 }
 
@@ -485,14 +485,14 @@
 // unless it is a copy.
 void UpstreamExchange::onHoldEnded() {
   const bool isForeign = firstByteAt_ || isLikelyCopy(held_->outcome, held_->fingerprint);
-  if (!isForeign) return onNothingFollows();
+  if (!isForeign) return onNoFurtherAnswer();
   held_.reset();
   if (Clock::now() >= job_->deadline) return connection_.fail(timeoutOutcome());
   connection_.setDeadline(job_->deadline);
 }
 
 // No other answer follows the held one.
-void UpstreamExchange::onNothingFollows() {
+void UpstreamExchange::onNoFurtherAnswer() {
   auto answer = *std::exchange(held_, std::nullopt);
   if (isLikelyCopy(answer.outcome, answer.fingerprint)) return connection_.fail(Outcome::Reset);
   finish(std::move(answer), !firstByteAt_);
--- a/src/sidecar/upstream/upstream_exchange.h
+++ b/src/sidecar/upstream/upstream_exchange.h
@@ -147,7 +147,7 @@
   [[nodiscard]] Received received();
   void hold();
   void onHoldEnded();
-  void onNothingFollows();
+  void onNoFurtherAnswer();
 
   [[nodiscard]] std::shared_ptr<UpstreamExchange> sharedSelf();
 
--- a/src/streaming/pipe.cpp
+++ b/src/streaming/pipe.cpp
@@ -19,14 +19,14 @@
 
 void Pipe::push(std::string_view bytes) {
   if (bytes.empty() || abandoned_ || failed_) return;
-  makeRoom(bytes.size());
+  ensureStorage(bytes.size());
   bytes_.append(bytes);
   notify(onData);
 }
 
 // Removes forwarded bytes if the storage would exceed its limit, of which a quarter is beyond the capacity,
 // so that each byte is moved a few times at most. Grows the storage to no more than that limit.
-void Pipe::makeRoom(std::size_t bytes) {
+void Pipe::ensureStorage(std::size_t bytes) {
   if (bytes_.size() + bytes > storageLimit()) {
     bytes_.erase(0, begin_);
     begin_ = 0;
@@ -41,7 +41,7 @@
   bytes_ = std::move(grown);
 }
 
-void Pipe::adopt(std::string bytes, ByteBudget::Share& budget) {
+void Pipe::pushBuffer(std::string bytes, ByteBudget::Share& budget) {
   extension_.takeFrom(budget);
   limit_ = std::max(capacity_, bytes.size());
   bytes_ = std::move(bytes);
--- a/src/streaming/pipe.h
+++ b/src/streaming/pipe.h
@@ -59,7 +59,7 @@
   void push(std::string_view bytes);
   /// For the producer: takes over the bytes of a buffer, and the budget that it holds for them, until the
   /// consumer has forwarded enough for the pipe's own capacity. Requires an empty pipe.
-  void adopt(std::string bytes, ByteBudget::Share& budget);
+  void pushBuffer(std::string bytes, ByteBudget::Share& budget);
   /// For the producer: makes room for at least `bytes` more than the pipe holds, from the budget, until the
   /// consumer has forwarded enough for the pipe's own capacity. Returns false, and changes nothing, if the
   /// budget or kMaxExtendedCapacity does not suffice.
@@ -94,7 +94,7 @@
   }
 
   [[nodiscard]] std::size_t storageLimit() const { return limit_ + limit_ / 4; }
-  void makeRoom(std::size_t bytes);
+  void ensureStorage(std::size_t bytes);
   void endExtension();
 
   ByteBudget::Share share_;
--- a/tests/streaming/pipe_test.cpp
+++ b/tests/streaming/pipe_test.cpp
@@ -62,12 +62,12 @@
 }
 
 // What a body has taken from the budget stays taken as long as its bytes are held.
-TEST(PipeTest, KeepsTheBudgetOfAdoptedBytesUntilTheyFitIntoIt) {
+TEST(PipeTest, KeepsTheBudgetOfABufferUntilItsBytesFit) {
   ByteBudget budget(100'000);
   ByteBudget::Share share(budget);
   ASSERT_TRUE(share.grow(50'000));
   Pipe pipe(budget);
-  pipe.adopt(std::string(50'000, 'a'), share);
+  pipe.pushBuffer(std::string(50'000, 'a'), share);
   EXPECT_EQ(share.bytes(), 0U);
   EXPECT_EQ(budget.inUse(), 50'000U);
   EXPECT_EQ(pipe.freeCapacity(), 0U);
--- a/tests/transfer_test.cpp
+++ b/tests/transfer_test.cpp
@@ -416,6 +416,43 @@
   EXPECT_EQ(upstreamSockets[0].body(), body);
 }
 
+// Guards against an answer that comes seconds late (issue 63, picture b): while the upstream reads slowly,
+// the rest of the request lies unread in the kernels' buffers, and its client's time had not begun.
+TEST_F(TransferTest, AnUploadThatItsUpstreamDoesNotReadIsAnsweredInTime) {
+  constexpr std::chrono::milliseconds kExpiresIn{600};
+  constexpr std::chrono::milliseconds kAnswerSlack{500};
+  transfer();
+  const RawSocket client = connect();
+  const auto sentAt = Clock::now();
+  const std::size_t size = 3'000'000;
+  client.send(head(length(size), "cambio", kExpiresIn.count()) + pattern(size));
+  ASSERT_TRUE(wait([&] { return !upstreamSockets.empty(); }));
+  upstreamSockets[0].pauseReading(true);
+  ASSERT_TRUE(wait([&] { return client.got().find("\r\n\r\n") != std::string::npos || client.closed(); }));
+  EXPECT_LT(Clock::now() - sentAt, kExpiresIn + kAnswerSlack);
+  EXPECT_EQ(client.got().substr(0, 10), "HTTP/1.1 5");
+}
+
+// While its client is still writing, an upload that is held up has all the time that it needs.
+TEST_F(TransferTest, AnUploadWhoseClientStillWritesOutlastsItsTime) {
+  transfer();
+  const RawSocket client = connect();
+  const std::string body = pattern(3'000'000);
+  client.send(head(length(body.size()), "cambio", 200) + body.substr(0, 2'500'000));
+  for (std::size_t at = 2'500'000; at < body.size(); at += 50'000) {
+    const auto end = Clock::now() + std::chrono::milliseconds(40);
+    wait([&] { return Clock::now() >= end; });
+    if (!upstreamSockets.empty()) upstreamSockets[0].pauseReading(at % 100'000 == 0);
+    client.send(body.substr(at, 50'000));
+  }
+  upstreamSockets[0].pauseReading(false);
+  ASSERT_TRUE(wait([&] { return upstreamHas(0, body) || client.closed(); }));
+  EXPECT_TRUE(upstreamHas(0, body));
+  upstreamSockets[0].send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  ASSERT_TRUE(wait([&] { return client.body() == "ok" || client.closed(); }));
+  EXPECT_EQ(client.body(), "ok");
+}
+
 // The head of a chunked request is stored separately from its trailer, and must not be used for the next
 // request.
 TEST_F(TransferTest, ARequestBehindALargeBodyInChunksKeepsItsOwnHead) {
