Client session: a wait for the byte budget does not keep its session alive

The callback of the wait held the session, which owns the deadline that holds the callback: a session that was closed during the wait was never freed. Found by LeakSanitizer in ServerTest of tests/leaving_test.cpp (6,291 bytes in 17 allocations), in the sanitized ivypost_tests; ClientMemoryTest alone passed. The callback has `this` now, like the others of the deadline.

--- a/src/sidecar/client_session_reading.cpp
+++ b/src/sidecar/client_session_reading.cpp
@@ -119,10 +119,12 @@
   if (!budgetWaitSince_) budgetWaitSince_ = time;
   if (time - *budgetWaitSince_ >= kMaxBudgetWait) return rejectForMemory();
   if (admission::hasPeerClosed(socket_.native_handle())) return close();
-  deadline_.set(time + kBudgetPollInterval, [self = shared_from_this(), mayBeEmptyLine] {
-    if (self->state_ != State::Reading) return;
-    self->setDeadline(Clock::now() + kMaxRequestTime);
-    self->parseHead(mayBeEmptyLine);
+  // The deadline belongs to the session, and so must not hold it.
+  deadline_.set(time + kBudgetPollInterval, [this, mayBeEmptyLine] {
+    const auto self = shared_from_this();
+    if (state_ != State::Reading) return;
+    setDeadline(Clock::now() + kMaxRequestTime);
+    parseHead(mayBeEmptyLine);
   });
 }
 
@@ -244,8 +246,9 @@
   if (!isHeldUp && time >= bodyStallTimer_->deadline()) return close();
   const bool isSending = admission::timeSinceLastData(socket_.native_handle()) < kBudgetPollInterval;
   if (isHeldUp && isSending) bodyStallTimer_->extendBy(kBudgetPollInterval);
-  deadline_.set(time + kBudgetPollInterval, [self = shared_from_this()] {
-    if (self->state_ == State::Reading) self->bufferBody();
+  deadline_.set(time + kBudgetPollInterval, [this] {
+    const auto self = shared_from_this();
+    if (state_ == State::Reading) bufferBody();
   });
 }
 
