Client session: a client that stops has its close in 3 s also after a wait for budget

Cause: what was left unread during the wait counted as received when it was read, so that a client which had stopped had 2 s of waiting and 2.5 s of patience.

Change: what is read within 0.2 s of the longest wait counts as of its begin.

--- a/src/sidecar/client_session_reading.cpp
+++ b/src/sidecar/client_session_reading.cpp
@@ -28,6 +28,8 @@
 // may wait for their clients.
 constexpr milliseconds kMaxBudgetWait{2000};
 constexpr milliseconds kBudgetPollInterval{20};
+// The time in which what was left unread during that wait is read.
+constexpr milliseconds kCatchUpTime{200};
 // Bytes of a request that its client may have written and that have not been received: its kernel's buffer.
 // Linux lets it grow to 4 MiB.
 constexpr std::size_t kMaxClientBuffer = 4096UL * 1024;
@@ -233,12 +235,10 @@
 // streamed at once instead takes the time of an upstream for as long as its client writes.
 void ClientSession::awaitBudget() {
   const auto time = Clock::now();
-  if (!budgetWaitSince_) {
-    budgetWaitSince_ = time;
-    auto& body = parser_->get().body();
-    reallocate(body, body.size());
-    buffering_.keep(body.size());
-  }
+  if (!budgetWaitSince_) budgetWaitSince_ = time;
+  auto& body = parser_->get().body();
+  reallocate(body, body.size());
+  buffering_.keep(body.size());
   if (time - *budgetWaitSince_ >= kMaxBudgetWait) return beginUpload();
   if (admission::hasPeerClosed(socket_.native_handle())) return close();
   // A client that has sent nothing more isn't held up by the sidecar.
@@ -275,15 +275,18 @@
                        });
 }
 
-// While a body waited for the byte budget, its client may have stopped: the last bytes count from their
-// arrival.
+// While a body waited for the byte budget, its client may have stopped: what is read right after the wait
+// counts as received when it began.
 void ClientSession::recordReceived(std::size_t size) {
-  milliseconds waited(0);
-  if (budgetWaitSince_) waited = unreadTime();
-  if (!hasFilledBuffer_) budgetWaitSince_.reset();
+  auto at = Clock::now();
+  if (budgetWaitSince_ && at < *budgetWaitSince_ + kMaxBudgetWait + kCatchUpTime) {
+    at = *budgetWaitSince_;
+  } else {
+    budgetWaitSince_.reset();
+  }
   // Nothing is unread, and the request isn't complete: its client is still writing.
   if (!hasFilledBuffer_) uploadWrittenAt_.reset();
-  bodyStallTimer_->received(size, Clock::now() - waited);
+  bodyStallTimer_->received(size, at);
 }
 
 void ClientSession::beginUpload() {
