--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -293,15 +293,20 @@
   }
 }
 
-// Guards against a request that runs twice (issue 63, picture e): its upstream has restarted under its id, so
-// that it is another process, which does not know the key.
-TEST(Repeats, AnUpstreamWithoutACellThatHasRestartedIsNotItself) {
-  BalancerFixture fixture;
+std::vector<EndpointEntry> servingWithoutCell(EndpointId count) {
   std::vector<EndpointEntry> entries;
-  for (EndpointId id = 0; id < 4; ++id) {
+  for (EndpointId id = 0; id < count; ++id) {
     entries.push_back(serving(id));
     entries.back().cell.reset();
   }
+  return entries;
+}
+
+// Guards against a request that runs twice (issue 63, picture e): its upstream has restarted under its id, so
+// that it is another process, which does not know the key.
+TEST(Repeats, AnUpstreamWithoutACellThatHasRestartedIsNotItself) {
+  BalancerFixture fixture;
+  std::vector<EndpointEntry> entries = servingWithoutCell(4);
   fixture.updateList(Kind::Saved, entries);
   const EndpointId at = fixture.sendRequest(1, kKeyed);
   entries[at].launchedAt = fixture.now;
@@ -314,12 +319,7 @@
 
 TEST(Repeats, AnUpstreamWithoutACellRepeatsOnlyToItself) {
   BalancerFixture fixture;
-  std::vector<EndpointEntry> entries;
-  for (EndpointId id = 0; id < 4; ++id) {
-    entries.push_back(serving(id));
-    entries.back().cell.reset();
-  }
-  fixture.updateList(Kind::Saved, entries);
+  fixture.updateList(Kind::Saved, servingWithoutCell(4));
   const EndpointId at = fixture.sendRequest(1, kKeyed);
   fixture.now += 10 * kMs;
   fixture.outcome(1, at, Outcome::Error);
--- a/tests/streaming/body_buffering_test.cpp
+++ b/tests/streaming/body_buffering_test.cpp
@@ -17,11 +17,19 @@
 constexpr std::size_t kThreshold = BodyBuffering::kStreamingThreshold;
 constexpr std::size_t kMaxBuffered = BodyBuffering::kMaxBuffered;
 
-TEST(BodyBufferingTest, BuffersTheFreeBytesOfABodyWithoutBudget) {
+TEST(BodyBufferingTest, BuffersASmallBodyWithoutBudget) {
   const ByteBudget budget(0);
   BodyBuffering buffering(budget);
   EXPECT_EQ(buffering.capacityFor(0, std::nullopt), kFreeBytes);
-  EXPECT_EQ(buffering.capacityFor(kFreeBytes - 1, kMaxBuffered), kFreeBytes);
+  EXPECT_EQ(buffering.capacityFor(kFreeBytes - 1, std::nullopt), kFreeBytes);
+  EXPECT_EQ(budget.inUse(), 0U);
+}
+
+TEST(BodyBufferingTest, BuffersTheFreeBytesOfALongBody) {
+  const ByteBudget budget(0);
+  BodyBuffering buffering(budget);
+  EXPECT_EQ(buffering.capacityFor(kFreeBytes - 1, kMaxBuffered + 1), kFreeBytes);
+  EXPECT_EQ(buffering.capacityFor(kFreeBytes, kMaxBuffered + 1), std::nullopt);
   EXPECT_EQ(buffering.capacityFor(kFreeBytes, std::nullopt), std::nullopt);
   EXPECT_EQ(budget.inUse(), 0U);
 }
