Test of a restarted upstream: it fails without the fix, and the retry that stays is shown

Cause: Repeats.AnUpstreamWithoutACellThatHasRestartedIsNotItself passed without its fix too: the group was not the cell, and the restart was a moment ago, so that slow start kept the retry back.

Change: the group is the cell, the start lies an hour back, and the same request without a restart has to be retried there.

Result: with isSameProcess() comparing the number alone it fails (1 Send where 0 may be), with the fix it passes. So the fault was real: a keyed request could run twice.

--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -305,16 +305,23 @@
 // Guards against a request that runs twice (issue 63, picture e): its upstream has restarted under its id, so
 // that it is another process, which does not know the key.
 TEST(Repeats, AnUpstreamWithoutACellThatHasRestartedIsNotItself) {
-  BalancerFixture fixture;
-  std::vector<EndpointEntry> entries = servingWithoutCell(4);
-  fixture.updateList(Kind::Saved, entries);
-  const EndpointId at = fixture.sendRequest(1, kKeyed);
-  entries[at].launchedAt = fixture.now;
-  fixture.updateList(Kind::Changes, {entries[at]});
-  fixture.now += 10 * kMs;
-  fixture.outcome(1, at, Outcome::Error);
-  EXPECT_EQ(fixture.count<Send>(), 0U);
-  EXPECT_EQ(fixture.count<Reject>(), 0U);
+  constexpr Micros kHour = 3'600'000 * kMs;
+  for (const bool restarts : {false, true}) {
+    Settings s = plainSettings();
+    s.classes[kKeyed].group = RetryGroup::Cell;
+    BalancerFixture fixture(s);
+    std::vector<EndpointEntry> entries = servingWithoutCell(4);
+    fixture.updateList(Kind::Saved, entries);
+    const EndpointId at = fixture.sendRequest(1, kKeyed);
+    // Long ago, so that no slow start keeps the retry back.
+    if (restarts) entries[at].launchedAt = fixture.now - kHour;
+    fixture.updateList(Kind::Changes, {entries[at]});
+    fixture.now += 10 * kMs;
+    fixture.outcome(1, at, Outcome::Error);
+    SCOPED_TRACE(restarts);
+    EXPECT_EQ(fixture.count<Send>(), restarts ? 0U : 1U);
+    EXPECT_EQ(fixture.count<Reject>(), 0U);
+  }
 }
 
 TEST(Repeats, AnUpstreamWithoutACellRepeatsOnlyToItself) {
