Exchange: a copy that is read late together with the request's own answer is no answer

Cause: found on reading the change again. Where the event loop was late, the kernel was asked when data last arrived. With the request's own answer behind the copy that is its arrival, so the copy counted as on time and was served.

Change: a repeated answer with further bytes behind it counts as early.

Test: LateAnswerTest.ACopyThatIsReadWithTheOwnAnswerIsNotServed holds the loop up now, and fails without the change; LateAnswerTest passes with it (9 of 9).

--- a/src/sidecar/upstream/upstream_exchange.cpp
+++ b/src/sidecar/upstream/upstream_exchange.cpp
@@ -434,9 +434,12 @@
   return outcome == Outcome::Ok && responseTimes_->areAnswersDistinct() && previousAnswer_ == fingerprint;
 }
 
-// Whether the bytes that were received last had arrived too early, according to the kernel: the event loop
-// may have been late in reading them. Costs a system call.
+// Whether the answer had arrived too early although it was read later, since the event loop was late: another
+// one has arrived behind it, or its last bytes were early according to the kernel. Costs two system calls at
+// the most.
 bool UpstreamExchange::arrivedEarly() const {
+  error_code error;
+  if (parser_.unparsed() > 0 || connection_.socket().available(error) > 0) return true;
   const auto waited = admission::timeSinceLastData(connection_.socket().native_handle());
   return responseTimes_->isEarly(Clock::now() - waited - writtenAt_);
 }
--- a/tests/sidecar/upstream/late_answer_test.cpp
+++ b/tests/sidecar/upstream/late_answer_test.cpp
@@ -71,6 +71,7 @@
   const int next = static_cast<int>(ends.size()) + 1;
   request(next);
   last().reply(200, bodyOf(next - 1));
+  blockEventLoop(kResponseTime);
   last().reply(200, bodyOf(next));
   ASSERT_TRUE(wait([&] {
     return end(next - 1).id.request == static_cast<balancer::RequestId>(next - 1) &&
