Memory plan: three states that the sum left out, found on reading

Cause: a chunked request has its headers twice while its body is read, and its upload kept both for as long as it lasted; the trailer fields of an upload stayed until the answer, up to 16 KiB of text that takes ten times as much when it is parsed; an upstream's connection may hold an early answer beside the one that follows.

Change: an upload drops the parser's headers, and its trailer fields once it is complete. A chunk's header that finds no budget in an upload ends it with an answer, where the connection was closed without one.

No test holds the dropped fields: they are not in the budget.

--- a/src/sidecar/client_session_reading.cpp
+++ b/src/sidecar/client_session_reading.cpp
@@ -255,7 +255,8 @@
 void ClientSession::readBodyPart(std::size_t most, error_code why) {
   if (hasFilledBuffer_) growBuffer();
   const std::size_t room = reserveRead(kMaxBufferedHead);
-  if (room == 0) return isUploading_ ? close() : rejectForMemory();
+  // The buffer holds a chunk's header that is too long for the memory there is.
+  if (room == 0) return isUploading_ ? onUploadPiece(http::error::bad_chunk_extension) : rejectForMemory();
   most = std::min(most, room);
   if (std::exchange(isReadingBody_, true)) return;
   network::waitToRetry(socket_, tcp::socket::wait_read, why,
@@ -321,6 +322,7 @@
   upload->pipe.pushBuffer(std::move(read.body()), buffering_.share());
   read.body() = {};
   read.body().reserve(upload->pipe.pieceSize());
+  read.base().clear();  // of a chunked request, whose message has the stored headers
   request.upload = std::move(upload);
   beginWaiting(std::move(request));
   if (isUploading_) continueUpload();
@@ -338,6 +340,7 @@
   upload_->pipe.push(parser_->get().body());
   parser_->get().body().clear();
   if (!parser_->is_done()) return continueUpload();
+  parser_->get().base().clear();  // trailer fields, which aren't forwarded
   isUploading_ = false;
   const auto deadline = uploadWrittenAt_.value_or(Clock::now()) + std::chrono::microseconds(expiresIn_);
   upload_->deadline = responseDeadline_ = deadline;
--- a/src/sidecar/memory_plan.h
+++ b/src/sidecar/memory_plan.h
@@ -5,6 +5,7 @@
 #ifndef IVYPOST_MEMORY_PLAN_H_
 #define IVYPOST_MEMORY_PLAN_H_
 
+#include <algorithm>
 #include <cstddef>
 
 #include "streaming/body_buffering.h"
@@ -35,13 +36,15 @@
   static constexpr std::size_t kIdle = kObjects + kReadBuffer;
   /// While a request's head or body is read, or its answer awaited.
   static constexpr std::size_t kReading = kIdle + kHead + kBody;
+  /// While the body of a chunked request is read: its headers are stored once more, apart from its trailer.
+  static constexpr std::size_t kReadingChunked = kReading + kHead;
   /// While a body is streamed: a piece that has been parsed, and the pipe.
   static constexpr std::size_t kUploading =
       kIdle + kHead + streaming::Pipe::kMinCapacity + streaming::Pipe::kMinStorage;
   /// While the answer is written.
   static constexpr std::size_t kWriting = kReading + kAnswer;
   /// In any state.
-  static constexpr std::size_t kMax = kUploading > kWriting ? kUploading : kWriting;
+  static constexpr std::size_t kMax = std::max({kIdle, kReading, kReadingChunked, kUploading, kWriting});
 };
 
 /// The same for one connection to an upstream.
@@ -61,11 +64,13 @@
 
   /// While a request is streamed; its upstream may answer ahead of its end.
   static constexpr std::size_t kSending = kObjects + kPiece + kAnswer;
+  /// While an early answer is held, and the one that follows it is received.
+  static constexpr std::size_t kHolding = kObjects + kBody + kAnswer;
   /// While an answer is streamed: the read buffer, a piece that has been parsed, and the pipe.
   static constexpr std::size_t kStreaming =
       kObjects + kBufferAndHead + streaming::Pipe::kMinCapacity + streaming::Pipe::kMinStorage;
   /// In any state.
-  static constexpr std::size_t kMax = kSending > kStreaming ? kSending : kStreaming;
+  static constexpr std::size_t kMax = std::max({kSending, kHolding, kStreaming});
 };
 
 /// The limits of a process.
