etcd: the last reference to a call or stream is dropped on the event loop

A call counted as ended before gRPC's thread had let go of it, and so of its channel. The last channel ends the queue that all share and joins its threads: on one of them it joins itself, and the queue is polled and freed once more. ivypost-etcd could crash so at SIGHUP or at its exit.

Change: what is posted to the event loop takes the call, or the stream, with it.

--- a/src/discovery/etcd/api_client.cpp
+++ b/src/discovery/etcd/api_client.cpp
@@ -128,9 +128,12 @@
   const std::shared_ptr<grpc::ClientContext> context(call, &call->context);
   contexts_.emplace(context.get(), context);
   outstanding_->begin();
-  invoke(*call, [call, weak = weak_from_this(), &io = io_, outstanding = outstanding_,
-                 done = std::move(done)](const grpc::Status& status) mutable {
-    boost::asio::post(io, [call, weak, status, done = std::move(done)]() mutable {
+  // The call holds its channel, and a channel must not be destroyed on a thread of gRPC's, which would wait
+  // for itself: the event loop gets the last reference.
+  Call& started = *call;
+  invoke(started, [call = std::move(call), weak = weak_from_this(), &io = io_, outstanding = outstanding_,
+                   done = std::move(done)](const grpc::Status& status) mutable {
+    boost::asio::post(io, [call = std::move(call), weak, status, done = std::move(done)]() mutable {
       const auto self = weak.lock();
       if (!self) return;
       self->contexts_.erase(&call->context);
--- a/src/discovery/etcd/watch_stream.cpp
+++ b/src/discovery/etcd/watch_stream.cpp
@@ -86,12 +86,14 @@
   });
 }
 
+// The stream holds its channel, and a channel must not be destroyed on a thread of gRPC's, which would wait
+// for itself: the event loop gets the last reference.
 void WatchStream::OnDone(const grpc::Status& status) {
-  boost::asio::post(io_, [weak = owner_, id = id_, endpoint = endpoint_, status] {
-    if (const auto owner = weak.lock()) owner->onStreamEnd(id, endpoint, status);
-  });
   const auto outstanding = outstanding_;
-  self_.reset();  // may destroy this object: no member is used after this line
+  // No member is used after this: the event loop may destroy this object at once.
+  boost::asio::post(io_, [self = std::move(self_), status] {
+    if (const auto owner = self->owner_.lock()) owner->onStreamEnd(self->id_, self->endpoint_, status);
+  });
   outstanding->end();
 }
 
--- a/tests/discovery/etcd/etcd_source_test.cpp
+++ b/tests/discovery/etcd/etcd_source_test.cpp
@@ -322,5 +322,20 @@
   io.poll();
 }
 
+// Guards against a channel that is destroyed on a thread of gRPC's, which then waits for itself and frees the
+// channel's queue twice: the source is destroyed just as its calls fail.
+TEST_F(EtcdSourceTest, MayEndWhenACallHasFailed) {
+  constexpr int kTurns = 200;
+  options.endpoints = {"http://127.0.0.1:1"};
+  for (int turns = 0; turns < kTurns; ++turns) {
+    log.clear();
+    watch();
+    ASSERT_TRUE(until([&] { return logged("unavailable"); }));
+    source.reset();
+    io.restart();
+    io.poll();
+  }
+}
+
 }  // namespace
 }  // namespace ivypost::discovery::etcd
