Client session: an upload whose client has closed does not become complete

Cause: a close behind unread bytes is known to the kernel, but an upload asked for it only while its pipe was full. It read to the end, forwarded the last byte and saw the close then.

Change: it asks before each piece goes on, one poll() a piece, and ends with the close.

--- a/src/sidecar/client_session_reading.cpp
+++ b/src/sidecar/client_session_reading.cpp
@@ -337,6 +337,8 @@
     write(answerToBodyError(error));
     return host_.cancelRequest(request_);
   }
+  // A client may close with the rest of its body unread: the request must not become complete after that.
+  if (admission::hasPeerClosed(socket_.native_handle())) return close();
   upload_->pipe.push(parser_->get().body());
   parser_->get().body().clear();
   if (!parser_->is_done()) return continueUpload();
--- a/tests/transfer_test.cpp
+++ b/tests/transfer_test.cpp
@@ -433,6 +433,21 @@
   EXPECT_EQ(client.got().substr(0, 10), "HTTP/1.1 5");
 }
 
+// Guards against a request that becomes complete at its upstream after its client has left (issue 63, picture
+// d): the client closes while much of its body lies unread in the kernels' buffers.
+TEST_F(TransferTest, AnUploadWhoseClientClosesWithMuchUnreadStaysIncomplete) {
+  transfer();
+  const std::string body = pattern(8'000'000);
+  const RawSocket client = connect();
+  client.send(head(length(body.size())) + body.substr(0, body.size() / 2));
+  ASSERT_TRUE(wait([&] { return upstreamHas(0, body.substr(0, body.size() / 4)); }));
+  client.send(body.substr(body.size() / 2));
+  ASSERT_TRUE(wait([&] { return client.sent(); }));
+  client.close();
+  ASSERT_TRUE(wait([&] { return upstreamSockets[0].closed() || upstreamHas(0, body); }));
+  EXPECT_LT(upstreamSockets[0].body().size(), body.size());
+}
+
 // While its client is still writing, an upload that is held up has all the time that it needs.
 TEST_F(TransferTest, AnUploadWhoseClientStillWritesOutlastsItsTime) {
   transfer();
