An id in use at one process is rejected by the other while one replaces it

What callers saw: a bad client's request with the id of another client's open request was served by the other process of a replacement; the id ran twice.

Change: SharedTraceIds, a table of 64 KiB in a file of $TMPDIR that both map. An id is claimed as its request opens, and stays in use for 3 s after its close. One word a slot, exchanged atomically, no lock: a stopped process holds up no other, and what a killed one had claimed expires after 60 s. Used only with $GW_FD and $TMPDIR, so not by a process on its own.

Test: ReplacementTest.AnIdInUseAtOneProcessIsRejectedByTheOther; without the table the id arrives twice and the repeat is not rejected.

--- a/src/sidecar/memory_plan.h
+++ b/src/sidecar/memory_plan.h
@@ -83,7 +83,7 @@
 struct MemoryPlan {
   /// The fraction of the memory that the sum of all bounds may reach. The rest is for fragmentation.
   static constexpr double kUsableFraction = 0.85;
-  /// Bytes for the program itself, its tables, and buffers that are copied when they grow.
+  /// Bytes for the program itself, its tables, SharedTraceIds, and buffers that are copied when they grow.
   static constexpr double kFixed = 3e6;
   /// The fractions of the memory that the byte budget gets at the least and at the most. Where the least does
   /// not remain, there are fewer client connections.
--- a/src/sidecar/request_validator.cpp
+++ b/src/sidecar/request_validator.cpp
@@ -62,7 +62,7 @@
   const auto trace = header(head, "X-Trace-Id").value_or("");
   const auto id = trace.size() == kTraceIdDigits ? toNumber<std::uint64_t>(trace, kHexBase) : std::nullopt;
   if (!id) return RequestError{400, "X-Trace-Id is missing or has not 16 hexadecimal digits"};
-  if (!isTraceIdFree(*id)) return RequestError{400, "X-Trace-Id is or was lately another request's"};
+  if (!isTraceIdFree(*id)) return RequestError{400, kTraceIdInUse};
   request.trace = *id;
   return std::nullopt;
 }
--- a/src/sidecar/request_validator.h
+++ b/src/sidecar/request_validator.h
@@ -28,6 +28,9 @@
   std::string_view reason;
 };
 
+/// Why a request is rejected whose X-Trace-Id is in use.
+inline constexpr std::string_view kTraceIdInUse = "X-Trace-Id is or was lately another request's";
+
 /// What the head of a request states before its body has been read.
 struct RequestHint {
   /// The index of its class.
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -2,6 +2,9 @@
 #include "server.h"
 
 #include <algorithm>
+#include <cerrno>
+#include <cstdio>
+#include <system_error>
 #include <utility>
 #include <vector>
 
@@ -32,6 +35,19 @@
   return settings;
 }
 
+// Where the platform passes the listening socket, another process may serve the same clients for a while.
+std::unique_ptr<admission::SharedTraceIds> mapSharedTraceIds(const Config& config) {
+  if (!config.listener || config.tempFolder.empty()) return nullptr;
+  const std::string path = config.tempFolder + "/ivypost-trace-ids-1-" + std::to_string(config.listen.port());
+  auto ids = admission::SharedTraceIds::map(path);
+  if (!ids) {
+    const std::string reason = std::generic_category().message(errno);
+    std::fprintf(stderr, "trace ids can't be shared with another process: %s: %s\n", path.c_str(),
+                 reason.c_str());
+  }
+  return ids;
+}
+
 }  // namespace
 
 Server::Server(asio::io_context& io, const Config& config, const configuration::OperatorFile& file,
@@ -53,7 +69,8 @@
           io, config, connectionLimiter_,
           {[this] { return evictConnection(); }, [this](tcp::socket socket) { admit(std::move(socket)); },
            [this](tcp::socket socket) { reject(std::move(socket)); }}),
-      statusSettings_(file.status) {}
+      statusSettings_(file.status),
+      sharedTraceIds_(mapSharedTraceIds(config)) {}
 
 Server::~Server() {
   deadlines_->stop();
@@ -128,6 +145,7 @@
 bool Server::endRequest(const ClientSession& session) {
   if (open_.erase(session.request()) == 0) return false;
   traceIds_.close(session.trace(), now());
+  if (sharedTraceIds_) sharedTraceIds_->release(session.trace(), now());
   return true;
 }
 
@@ -197,6 +215,7 @@
     return rejection("refused: too late");
   if (isAtRequestLimit() || (!admissionController_.hasQueue() && !connectionLimiter_.admitsRequests()))
     return rejection("refused: too many open requests");
+  if (sharedTraceIds_ && !sharedTraceIds_->claim(request.trace, now())) return textAnswer(400, kTraceIdInUse);
   request.id = ++lastId_;
   request.message = std::make_shared<const Message>(std::move(message));
   return std::move(request);
--- a/src/sidecar/server.h
+++ b/src/sidecar/server.h
@@ -16,6 +16,7 @@
 #include <variant>
 
 #include "admission/connection_limiter.h"
+#include "admission/shared_trace_ids.h"
 #include "admission/trace_ids.h"
 #include "admission_controller.h"
 #include "client_request.h"
@@ -133,6 +134,8 @@
   balancer::RequestId lastId_ = 0;
   std::unordered_map<balancer::RequestId, std::shared_ptr<ClientSession>> open_;
   admission::TraceIds traceIds_;
+  // Null if no other process may replace this one, or be replaced by it.
+  const std::unique_ptr<admission::SharedTraceIds> sharedTraceIds_;
 };
 
 }  // namespace ivypost
--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -401,6 +401,39 @@
   EXPECT_EQ(last.answer(0).result_int(), 200U);
 }
 
+// Guards against an id that runs twice (issue 63, picture d): it came again at the other process while one
+// replaces the other, as a bad client sends the id of another client's request.
+TEST_F(ReplacementTest, AnIdInUseAtOneProcessIsRejectedByTheOther) {
+  upstreams.push_back(std::make_unique<Peer>(io));
+  states.assign(1, "up");
+  const auto old = process();
+  ASSERT_TRUE(wait([&] { return call("GET", "/api/ready", *old) == 200; }));
+  const Client first = newClient();  // only the old process accepts so far
+  Request request;
+  request.trace = trace(1);
+  first.send(request.text());
+  ASSERT_TRUE(wait([&] { return arrived() == 1; }));
+  const auto next = process();
+  ASSERT_TRUE(wait([&] { return call("GET", "/api/ready", *next) == 200; }));
+  bool stopped = false;
+  old->stop([&] { stopped = true; });
+  const auto statusOfRepeat = [&] {
+    const Client again = newClient();
+    again.send(request.text());
+    EXPECT_TRUE(wait([&] { return again.answers() == 1 || arrived() > 1; }));
+    return again.answers() == 1 ? again.answer(0).result_int() : 0U;
+  };
+  // Either process may accept this one, and the stopping one rejects any request.
+  const unsigned status = statusOfRepeat();
+  EXPECT_TRUE(status == 400U || status == 503U) << status;
+  upstreams[0]->requests.back().reply(200, "served");
+  ASSERT_TRUE(wait([&] { return first.answers() == 1; }));
+  ASSERT_TRUE(wait([&] { return stopped; }));
+  EXPECT_EQ(statusOfRepeat(), 400U) << "only the new process accepts now";
+  EXPECT_EQ(arrived(), 1U);
+  EXPECT_EQ(first.answer(0).result_int(), 200U);
+}
+
 TEST_F(ReplacementTest, BeforeItIsReadyTheNewProcessLeavesServiceToTheOldOne) {
   upstreams.push_back(std::make_unique<Peer>(io));
   states.assign(1, "up");
