Flood test: the flooded sidecar's memory is compared with the mean of the others

Trace, six sidecars a run: plain 5.62 MB with the flood, 5.53 to 5.75 without, so the flood costs nothing there. Sanitized, 16 runs (eight of them with less quarantine or shorter stacks, which change nothing; five beside each other): 0.2 to 1.8 MB over the mean of the others, as anonymous memory; the others differ by up to 1.2 MB among themselves, and the first of them was over 2 MB below in one of these runs too. The check asked for the flood's cost, and got the first one's chance as well.

Change: the reference is the mean of the five that aren't flooded. The bound of 2 MB stays; in the mean the check asks neither more nor less.

--- a/tests/gossip/processes_test.cpp
+++ b/tests/gossip/processes_test.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <numeric>
 #include <random>
 #include <string>
 #include <vector>
@@ -178,7 +179,12 @@
   EXPECT_GT(sent, 50'000u);
   EXPECT_LT(all[0].cpuSeconds, all[1].cpuSeconds + 2.0)
       << "at most a fifth of a core more than without the flood";
-  EXPECT_LT(all[0].peakBytes, all[1].peakBytes + 2'000'000);
+  // The mean of the others: under sanitizers one of them alone differs from another by over 1 MB.
+  const double unflooded = std::accumulate(all.begin() + 1, all.end(), 0.0, [](double sum, const auto& one) {
+    return sum + static_cast<double>(one.peakBytes);
+  });
+  const double meanPeak = unflooded / static_cast<double>(all.size() - 1);
+  EXPECT_LT(static_cast<double>(all[0].peakBytes), meanPeak + 2'000'000);
   const std::size_t logLines =
       flooded.count(1, "peers: a datagram") + flooded.count(1, "peers: more datagrams");
   EXPECT_GE(logLines, 5u);
