ivyfault: the signal handler is set before the line that says where it listens

Cause: the handler of SIGTERM and SIGINT was set after the line. Who ends the program as soon as the line is there may be ahead of the handler, and the signal has its default effect.

Change: the handler is set before the plan is read; a signal during the start is kept until the event loop runs. By reading, ivypost, ivyfleet and ivyscale set theirs ahead of their first line. The new test holds the program up in its plan, a FIFO, and signals it there. The existing test is unchanged.

--- a/tests/compatibility/programs_test.cpp
+++ b/tests/compatibility/programs_test.cpp
@@ -2,8 +2,11 @@
 //
 // Options, exit codes and the lines that scripts wait for, of all programs; and the adapter's wire. When a
 // program gets another name its target changes in tests/CMakeLists.txt, and its own name is masked here.
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <signal.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include "compatibility/support.h"
 
@@ -78,6 +81,20 @@
   EXPECT_EQ(proxy.wait(), 0);
 }
 
+// Guards against a signal handler that is set after the line: who ended the proxy at once saw 143, not 0.
+TEST(Programs, FaultProxyEndsInOrderAtASignalThatComesBeforeItsLine) {
+  const Folder folder;
+  const std::string plan = folder.path() + "/plan.toml";
+  ASSERT_EQ(mkfifo(plan.c_str(), S_IRUSR | S_IWUSR), 0);
+  Process proxy({FAULT_PROXY_PROGRAM, "--listen", "127.0.0.1:0", "--to", "127.0.0.1:1", "--plan", plan}, {});
+  // Open for writing once the proxy reads its plan, and until then it says nothing.
+  int writer = -1;
+  ASSERT_TRUE(eventually([&] { return (writer = open(plan.c_str(), O_WRONLY | O_NONBLOCK)) >= 0; }));
+  proxy.signal(SIGTERM);
+  close(writer);
+  EXPECT_EQ(proxy.wait(), 0);
+}
+
 TEST(Programs, FakeEtcdSaysWhereItListensAndTakesCommands) {
   const auto ended = run({FAKE_ETCD_PROGRAM, "--members", "2"}, "# a comment\nbogus\nquit\n");
   EXPECT_EQ(ended.code, 0);
--- a/tools/ivyfault/main.cpp
+++ b/tools/ivyfault/main.cpp
@@ -44,6 +44,9 @@
 
 int run(const Arguments& arguments) {
   boost::asio::io_context io(1);
+  // Before anything that others can see: they may end the program as soon as it says where it listens.
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&io](const boost::system::error_code&, int) { io.stop(); });
   fault::Proxy::Options options;
   options.listen = fault::parseAddress(arguments.listen);
   options.to = fault::parseAddress(arguments.to);
@@ -61,8 +64,6 @@
   std::optional<fault::Control> control;
   if (!arguments.control.empty()) control.emplace(io, arguments.control, proxy);
   line({{"listening", fault::formatAddress(proxy.address())}});
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait([&io](const boost::system::error_code&, int) { io.stop(); });
   io.run();
   return 0;
 }
