Decision timer: the time that was set last counts; the timer could be lost

Callers had 504 late for a request that was held and never ran; until another request was held, time-outs of probes, polls of discovery and ends of back-offs passed unseen as well.

Cause: SetTimer replaces the timer before; the executor kept the earlier one. Where that expired in the very microsecond of the event that had asked for the later one, the module was told too early, took its later timer for set, and nobody had one. 24 of 660 handlers ran in that microsecond; the next held request rescues it, so a burst's last one alone is seen.

Change: DecisionTimer, by the event's own time and ahead of the event's other actions. The session's own 504 lets the due decisions be made first, and is 503 for what is still in the admission queue.

--- a/src/sidecar/client_session.cpp
+++ b/src/sidecar/client_session.cpp
@@ -316,8 +316,13 @@
 
 void ClientSession::answerLate() {
   const auto self = shared_from_this();
-  if (state_ != State::Waiting || !host_.endRequest(*this)) return;
+  const auto late = request_;
+  // If the event loop was held up, this may run ahead of the decision whether the request can be rejected.
+  host_.decideOverdue();
+  if (request_ != late || state_ != State::Waiting || !host_.endRequest(*this)) return;
   if (upload_) upload_->pipe.fail();
+  if (host_.withdrawQueued(request_))
+    return write(host_.rejection("refused: its time was over in the queue"));
   write(textAnswer(504, "no answer in time"));
   host_.cancelRequest(request_);
 }
--- a/src/sidecar/client_session_host.h
+++ b/src/sidecar/client_session_host.h
@@ -46,6 +46,10 @@
   virtual void forward(ClientRequest request) = 0;
   /// Marks the session's request as no longer open: no answer is pending. False if it was not open.
   virtual bool endRequest(const ClientSession& session) = 0;
+  /// Makes the decisions that are due and were delayed with the event loop. May answer open requests.
+  virtual void decideOverdue() = 0;
+  /// Removes a request from the admission queue: it has not run and will not. False if it is not queued.
+  virtual bool withdrawQueued(balancer::RequestId id) = 0;
   /// Cancels what remains of a request that was ended: its place in the queue, or its attempts.
   virtual void cancelRequest(balancer::RequestId id) = 0;
   /// The session has closed its connection; releases its slot in the connection limiter.
--- a/src/sidecar/control/action_executor.cpp
+++ b/src/sidecar/control/action_executor.cpp
@@ -18,8 +18,14 @@
 
 }  // namespace
 
-void ActionExecutor::execute(const balancer::Action& action) {
-  std::visit([this](const auto& one) { perform(one); }, action);
+void ActionExecutor::execute(const std::vector<balancer::Action>& actions, Micros now) {
+  // The timer first: another action may lead to a further event, whose timer then is the newer one. By the
+  // event's time: the timer would be late by what the event has taken otherwise.
+  for (const auto& action : actions) {
+    if (const auto* timer = std::get_if<balancer::SetTimer>(&action))
+      timer_.set(Clock::time_point(microseconds(now + timer->delay)));
+  }
+  for (const auto& action : actions) std::visit([this](const auto& one) { perform(one); }, action);
 }
 
 void ActionExecutor::onEventHandled(Micros now) {
@@ -75,18 +81,6 @@
   forget(failure.request);
 }
 
-void ActionExecutor::perform(const balancer::SetTimer& timer) {
-  const auto at = Clock::now() + microseconds(timer.delay);
-  if (at >= armedFor_) return;  // an earlier expiry is pending, after which the module sets the timer again
-  armedFor_ = at;
-  timer_.expires_at(at);
-  timer_.async_wait([this](const boost::system::error_code& cancelled) {
-    if (cancelled) return;
-    armedFor_ = Clock::time_point::max();
-    callbacks_.timerDue();
-  });
-}
-
 void ActionExecutor::perform(const balancer::Probe& probe) {
   targets_.endpoints.addUse(probe.upstream);
   targets_.pool.probe(probe.upstream);
--- a/src/sidecar/control/action_executor.h
+++ b/src/sidecar/control/action_executor.h
@@ -5,13 +5,14 @@
 #define IVYPOST_CONTROL_ACTION_EXECUTOR_H_
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "clock.h"
 #include "config.h"
+#include "control/decision_timer.h"
 #include "control/endpoint_table.h"
 #include "control/open_request.h"
 #include "discovery/source_manager.h"
@@ -49,14 +50,20 @@
 
   /// Starts with no timer armed.
   ActionExecutor(boost::asio::io_context& io, const Targets& targets, Callbacks callbacks)
-      : targets_(targets), callbacks_(std::move(callbacks)), timer_(io) {}
+      : targets_(targets), callbacks_(std::move(callbacks)), timer_(io, [this] { callbacks_.timerDue(); }) {}
 
-  /// Executes one action. The request and the endpoint that it names must be in `requests` and `endpoints`.
-  void execute(const balancer::Action& action);
+  /// Executes the actions of one event. The requests and endpoints that they name must be in `requests` and
+  /// `endpoints`.
+  /// \param actions what the module returned for it.
+  /// \param now the event's time as the module was given it: monotonic, in microseconds.
+  void execute(const std::vector<balancer::Action>& actions, Micros now);
   /// Called after all actions of an event have been executed; logs the end of load shedding when it is due.
   /// \param now monotonic time in microseconds.
   void onEventHandled(Micros now);
 
+  /// Calls `timerDue` at once if the module's timer has expired and the event loop has not called it yet.
+  void runOverdueTimer() { timer_.runIfDue(); }
+
   /// Sends the answer to the client and withdraws the attempts whose last byte has not been written. The
   /// request must be in `requests`.
   void finish(balancer::RequestId id, Answer answer);
@@ -68,7 +75,7 @@
   void perform(const balancer::Cancel& cancel);
   void perform(const balancer::Reject& rejection);
   void perform(const balancer::Fail& failure);
-  void perform(const balancer::SetTimer& timer);
+  void perform(const balancer::SetTimer& /*timer*/) {}  // execute() has set it
   void perform(const balancer::Probe& probe);
   void perform(const balancer::CloseIdle& close);
   void perform(const balancer::Subscribe& subscribe);
@@ -78,8 +85,7 @@
 
   const Targets targets_;
   Callbacks callbacks_;
-  boost::asio::steady_timer timer_;
-  Clock::time_point armedFor_ = Clock::time_point::max();  // expiry of timer_; max(): not armed
+  DecisionTimer timer_;
   LoadSheddingLog shedding_;
 };
 
--- a/src/sidecar/server.h
+++ b/src/sidecar/server.h
@@ -47,6 +47,8 @@
     /// The answer to this request is no longer needed: its client has left, or the server itself has answered
     /// because the deadline has passed or the process stops.
     std::function<void(balancer::RequestId)> onRequestEnded;
+    /// Makes the decisions that are due, before the timer that will ask for them has run.
+    std::function<void()> decideOverdue;
     /// The body of GET /status/level, as JSON. Called only if the operator has enabled that page.
     std::function<std::string()> levelStatus;
     /// The body of GET /status/peers, as JSON. Called only if the operator has enabled that page.
@@ -103,6 +105,8 @@
   void openRequest(std::shared_ptr<ClientSession> session) override;
   void forward(ClientRequest request) override;
   bool endRequest(const ClientSession& session) override;
+  void decideOverdue() override { callbacks_.decideOverdue(); }
+  bool withdrawQueued(balancer::RequestId id) override { return admissionController_.withdraw(id); }
   void cancelRequest(balancer::RequestId id) override;
   void onClosed(admission::ConnectionLimiter::Slot slot) override;
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -69,7 +69,8 @@
       selection_(io, config_, membership_, std::move(makeEtcd), log),
       server_(io, config_, file, budget_,
               {[this](ClientRequest client) { onRequest(std::move(client)); },
-               [this](RequestId id) { onRequestEnded(id); }, [this] { return status(); },
+               [this](RequestId id) { onRequestEnded(id); }, [this] { executor_.runOverdueTimer(); },
+               [this] { return status(); },
                [this] { return healthView_ ? healthView_->status().dump() : std::string("{}"); },
                [this] {
                  if (onStopped_) onStopped_();
@@ -129,10 +130,13 @@
 // ---- Events -----------------------------------------------------------------------------------------------
 
 void Sidecar::handle(const balancer::Event& event) {
+  handle(event, now());
+}
+
+void Sidecar::handle(const balancer::Event& event, Micros at) {
   std::vector<balancer::Action> actions;
-  const Micros at = now();
   balancer_.handle(event, at, actions);
-  for (const auto& action : actions) executor_.execute(action);
+  executor_.execute(actions, at);
   executor_.onEventHandled(at);
 }
 
@@ -142,16 +146,18 @@
   event.requestClass = client.requestClass;
   event.tenant = client.tenant;
   event.key = client.key;
-  // The remaining time is computed anew, since the request may have waited in the admission queue after it
-  // was read.
-  event.expiresIn = std::max<Micros>(0, duration_cast<microseconds>(client.deadline - Clock::now()).count());
   event.work = client.work;
   event.isRetry = client.isRetry;
   degradation_.onRequest(client.isRetry);
   Request request;
   request.client = std::move(client);
+  const Clock::time_point deadline = request.client.deadline;
   requests_.emplace(event.request, std::move(request));
-  handle(event);
+  // The remaining time is computed anew, since the request may have waited in the admission queue after it
+  // was read; and by the event's own time, so that the module's deadline is the client's.
+  const Micros at = now();
+  event.expiresIn = std::max<Micros>(0, microsOf(deadline) - at);
+  handle(event, at);
 }
 
 void Sidecar::onRequestEnded(RequestId id) {
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -87,6 +87,8 @@
 
   // Passes one event to the decision module and executes the actions that it returns.
   void handle(const balancer::Event& event);
+  // The same for an event whose fields were computed by the time `at`.
+  void handle(const balancer::Event& event, Micros at);
 
   boost::asio::io_context& io_;
   const Config config_;
--- a/tests/attempts_test.cpp
+++ b/tests/attempts_test.cpp
@@ -226,6 +226,14 @@
   EXPECT_EQ(arrived(), 1u);
 }
 
+// Guards against 504 for a request whose deadline passes in the queue while the process is held up.
+TEST_F(QueuedTest, ARequestQueuedUntilItsDeadlineIsRefused) {
+  startWithQueue(1);
+  sendAll(300);
+  ASSERT_TRUE(wait([&] { return clients.back().answers() == 1; }));
+  EXPECT_EQ(clients.back().answer(0).result_int(), 503u);
+}
+
 // With a remaining time of 0 to 100 ms, requests that could not be answered in time are not sent, and each
 // client gets its answer in time.
 TEST_F(RemainingTimeTest, WithHardlyAnyTimeLeftEachIsAnswered) {
--- a/tests/moments.h
+++ b/tests/moments.h
@@ -118,6 +118,7 @@
         io, *config, file, *budget,
         Server::Callbacks{[this](ClientRequest request) { receivedRequests.push_back(std::move(request)); },
                           [this](balancer::RequestId id) { finishedRequests.push_back(id); },
+                          [] {},
                           {},
                           {},
                           [this] { ended = true; }});
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -528,6 +528,7 @@
   Server server(io, config, configuration::OperatorFile{}, budget,
                 {[&](const ClientRequest& request) { receivedRequests.push_back(request.id); },
                  [&](balancer::RequestId id) { finishedRequests.push_back(id); },
+                 [] {},
                  {},
                  {},
                  {}});
