Tests of programs: a free port is kept for its sidecar until the test ends

Cause: freePort() let the port go again, and until the sidecar bound it, the system gave it to one of the tests beside it. ivypost is not at fault.

Change: the port stays bound, without listening, until the test's process ends; the system gives such a port to nobody, and ivypost, which sets SO_REUSEADDR, can listen there. Ports for datagrams are not kept by it. No check or bound is changed.

--- a/tests/compatibility/programs_test.cpp
+++ b/tests/compatibility/programs_test.cpp
@@ -4,7 +4,9 @@
 // program gets another name its target changes in tests/CMakeLists.txt, and its own name is masked here.
 #include <fcntl.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
 #include <signal.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -165,5 +167,25 @@
   expectGolden(all, "adapter-errors.txt");
 }
 
+// Guards against a port that another test's process gets before the sidecar binds it: it ended with "Address
+// already in use".
+TEST(FreePort, IsKeptForTheProgramThatIsToldIt) {
+  const unsigned port = freePort();
+  const auto tryToListen = [port](int reuseAddress) {
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &reuseAddress, sizeof reuseAddress);
+    const bool listens = ::bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0 &&
+                         ::listen(socket, 1) == 0;
+    ::close(socket);
+    return listens;
+  };
+  EXPECT_FALSE(tryToListen(0));
+  EXPECT_TRUE(tryToListen(1));
+}
+
 }  // namespace
 }  // namespace compatibility
--- a/tests/compatibility/support.cpp
+++ b/tests/compatibility/support.cpp
@@ -294,10 +294,14 @@
 }
 
 unsigned freePort() {
-  const int socket = listening();
-  const unsigned port = portOf(socket);
-  ::close(socket);
-  return port;
+  // Stays open until this process ends. Bound without listening, it keeps the port from all others.
+  const int keeper = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  const sockaddr_in address = loopback(0);
+  if (::setsockopt(keeper, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
+      ::bind(keeper, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
+    throw std::runtime_error("no free port");
+  return portOf(keeper);
 }
 
 std::string toHex(const std::string& bytes) {
--- a/tests/compatibility/support.h
+++ b/tests/compatibility/support.h
@@ -88,7 +88,8 @@
 std::string bodyOf(const std::string& response);
 // Asks until the condition holds; false after 20 s.
 bool eventually(const std::function<bool()>& condition);
-// A port of 127.0.0.1 that was free a moment ago.
+// A TCP port of 127.0.0.1 that the system gives to nobody else until this process ends. Nothing listens there
+// but a program that is told the port and binds it with SO_REUSEADDR, as ivypost does.
 unsigned freePort();
 
 std::string toHex(const std::string& bytes);
