Test of a held request whose deadline passes while the process is held up

Found on reading the whole change: that the session has overdue decisions made before its own 504 was guarded by no test.

The test lets another session wait for its client's close, so that the sessions' timer expires ahead of the decision module's.

--- a/tests/attempts_test.cpp
+++ b/tests/attempts_test.cpp
@@ -144,6 +144,27 @@
   EXPECT_LE(remainingMs(usedUpstream().requests[1]), 4800);
 }
 
+// Guards against 504 for a held request that never ran: the process is held up across its deadline, and the
+// sessions' timer, set for a moment before that, runs ahead of the decision module's.
+TEST_F(RemainingTimeTest, AHeldRequestIsRefusedAlsoIfTheProcessIsHeldUpAcrossItsDeadline) {
+  start(1);
+  const Client first = client();
+  first.send(idempotent(1).text());
+  ASSERT_TRUE(wait([&] { return arrived() == 1; }));
+  const Client unsound = client();
+  unsound.send("nonsense\r\n\r\n");  // its session waits 200 ms for it to close after the answer
+  ASSERT_TRUE(wait([&] { return unsound.answers() == 1; }));
+  const Client second = client();
+  Request held = idempotent(2);
+  held.expiresInMs = 300;
+  second.send(held.text());
+  pollAll(io);
+  blockEventLoop(milliseconds(400));
+  ASSERT_TRUE(wait([&] { return second.answers() == 1; }));
+  EXPECT_EQ(second.answer(0).result_int(), 503u);
+  EXPECT_EQ(arrived(), 1u);
+}
+
 // Requests wait in the admission queue, which admits one per turn of the event loop. The loop is blocked when
 // all of them have been read.
 class QueuedTest : public RemainingTimeTest {
